--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"ospreyknot/internal/wire"
+	"lotushook/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -5,7 +5,7 @@
 import (
 	"fmt"
 
-	"ospreyknot/balance"
+	"lotushook/balance"
 )
 
 type envClass struct {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -7,7 +7,7 @@
 	"math"
 	"strconv"
 
-	"ospreyknot/balance"
+	"lotushook/balance"
 )
 
 // Host keeps the instances of one process and turns lines into replies.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -2,7 +2,7 @@
 
 import (
 	"encoding/json"
-	"ospreyknot/balance"
+	"lotushook/balance"
 	"strings"
 	"testing"
 )
