--- /dev/null
+++ b/internal/backend/attempt.go
@@ -0,0 +1,129 @@
+package backend
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"lotushook/balance"
+	"lotushook/internal/invariant"
+	"lotushook/internal/pgwire"
+)
+
+// notSent is the outcome where the router itself could not send: nothing ran,
+// and the node had no part in it.
+const notSent = balance.Busy
+
+// Result is how an attempt ended.
+type Result struct {
+	Outcome  balance.Outcome
+	Role     balance.Role
+	Position balance.Nanos // Unix; 0: not told
+	Answer   []byte        // with Done: the messages to pass on, up to CommandComplete
+	Value    []byte        // with Done: the one column
+	Code     string        // of a data server's error
+	Err      error         // why there is no answer
+}
+
+// Attempt is one query on its way to a node. Exactly one Result comes.
+type Attempt struct {
+	node   uint32
+	until  time.Time
+	word   func() []byte // the query, worded when it is written
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan Result
+
+	mu   sync.Mutex
+	over bool
+	conn *conn
+}
+
+// Start begins an attempt on the most recently used idle connection, or on a
+// new one. It does not wait for a connection to come up.
+func (p *Pool) Start(node uint32, until time.Time, word func() []byte) *Attempt {
+	a := &Attempt{node: node, until: until, word: word, done: make(chan Result, 1)}
+	a.ctx, a.cancel = context.WithDeadline(context.Background(), until)
+	dial, ready := p.Directory.Address(node)
+	if !ready {
+		a.finish(Result{Outcome: balance.Busy})
+		return a
+	}
+	if c := p.take(node, dial); c != nil {
+		c.begin(a)
+	} else {
+		p.open(a, dial)
+	}
+	return a
+}
+
+// Done carries the result.
+func (a *Attempt) Done() <-chan Result { return a.done }
+
+// Abort gives the attempt up: when it returns, the connection is closed and
+// nothing more will be written for it. The result is the given outcome, unless
+// another one had come first.
+func (a *Attempt) Abort(o balance.Outcome) Result {
+	a.mu.Lock()
+	c := a.conn
+	if !a.over {
+		a.over = true
+		a.done <- Result{Outcome: o}
+	}
+	a.mu.Unlock()
+	a.cancel()
+	res := <-a.done
+	if c != nil && res.Outcome == o {
+		c.close()
+	}
+	return res
+}
+
+// bind ties the attempt to the connection that its query goes out on.
+func (a *Attempt) bind(c *conn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.over {
+		return false
+	}
+	invariant.Check(a.conn == nil, "an attempt is sent once")
+	a.conn = c
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	invariant.Check(c.cur == nil, "a connection carries one request at a time")
+	c.cur = a
+	return true
+}
+
+// finish delivers the result; what comes after the first one is dropped.
+func (a *Attempt) finish(r Result) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.over {
+		return
+	}
+	a.over = true
+	a.cancel()
+	a.done <- r
+}
+
+// Probe asks a node for its report. It waits for the answer.
+func (p *Pool) Probe(node uint32, wait time.Duration) (Result, pgwire.Report) {
+	a := p.Start(node, time.Now().Add(wait), func() []byte { return pgwire.AppendQuery(nil, "SHOW vitals") })
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	var res Result
+	select {
+	case res = <-a.Done():
+	case <-timer.C:
+		res = a.Abort(balance.TimedOut)
+	}
+	if res.Outcome != balance.Done {
+		return res, pgwire.Report{}
+	}
+	rep, err := pgwire.ParseReport(string(res.Value))
+	if err != nil {
+		res.Outcome, res.Err = balance.Failed, err
+	}
+	return res, rep
+}
--- /dev/null
+++ b/internal/backend/pool.go
@@ -0,0 +1,212 @@
+// Package backend keeps connections to data servers and makes attempts and
+// probes on them. It speaks PostgreSQL as a client and decides nothing.
+package backend
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"sync"
+	"time"
+
+	"lotushook/internal/budget"
+	"lotushook/internal/invariant"
+)
+
+// Directory tells where a node listens, and whether it may get anything new.
+type Directory interface {
+	Address(node uint32) (dial string, ready bool)
+}
+
+// Options are a pool's settings.
+type Options struct {
+	Directory      Directory
+	Budget         *budget.Budget
+	ConnectTimeout time.Duration
+	IdleClose      time.Duration // data servers close idle connections after this
+}
+
+// Pool holds the idle connections to all data servers. It is safe for
+// concurrent use.
+type Pool struct {
+	Options
+	mu     sync.Mutex
+	idle   map[uint32][]*conn // by node; the most recently used last
+	all    map[*conn]struct{}
+	closed bool
+}
+
+// NewPool returns a pool without connections.
+func NewPool(o Options) *Pool {
+	return &Pool{Options: o, idle: map[uint32][]*conn{}, all: map[*conn]struct{}{}}
+}
+
+// Run retires connections well before the data servers close them, until the
+// context ends; then it closes all.
+func (p *Pool) Run(ctx context.Context) {
+	keep := p.IdleClose / 2
+	tick := time.NewTicker(max(keep/8, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			p.closeAll()
+			return
+		case now := <-tick.C:
+			p.retire(now.Add(-keep))
+		}
+	}
+}
+
+func (p *Pool) closeAll() {
+	p.mu.Lock()
+	p.closed = true
+	var all []*conn
+	for c := range p.all {
+		all = append(all, c)
+	}
+	p.mu.Unlock()
+	for _, c := range all {
+		c.close()
+	}
+}
+
+// retire closes what has been idle since before a time, and all idle
+// connections to nodes that drain, are gone, or have moved.
+func (p *Pool) retire(before time.Time) {
+	var old []*conn
+	p.mu.Lock()
+	for node, list := range p.idle {
+		dial, ready := p.Directory.Address(node)
+		var keep []*conn
+		for _, c := range list {
+			if !ready || dial != c.dial || c.idleAt.Before(before) {
+				old = append(old, c)
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		p.idle[node] = keep
+		if len(keep) == 0 {
+			delete(p.idle, node)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
+
+// take returns the most recently used idle connection to a node, if any.
+func (p *Pool) take(node uint32, dial string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[node]
+	for i := len(list) - 1; i >= 0; i-- {
+		if c := list[i]; c.dial == dial {
+			p.unlist(c)
+			return c
+		}
+	}
+	return nil
+}
+
+// put makes a connection available again.
+func (p *Pool) put(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, live := p.all[c]; p.closed || !live {
+		return false
+	}
+	c.idleAt = time.Now()
+	p.idle[c.node] = append(p.idle[c.node], c)
+	return true
+}
+
+// remove forgets a closed connection.
+func (p *Pool) remove(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.all, c)
+	p.unlist(c)
+}
+
+// unlist takes a connection off the idle ones; the lock is held.
+func (p *Pool) unlist(c *conn) {
+	list := p.idle[c.node]
+	for i, x := range list {
+		if x == c {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if p.idle[c.node] = list; len(list) == 0 {
+		delete(p.idle, c.node)
+	}
+}
+
+// EvictIdle closes the connection that has been idle longest, so that its
+// descriptor comes free; false means that none was idle.
+func (p *Pool) EvictIdle() bool {
+	p.mu.Lock()
+	var oldest *conn
+	for _, list := range p.idle {
+		if oldest == nil || list[0].idleAt.Before(oldest.idleAt) {
+			oldest = list[0]
+		}
+	}
+	if oldest != nil {
+		p.unlist(oldest)
+	}
+	p.mu.Unlock()
+	if oldest == nil {
+		return false
+	}
+	oldest.end()
+	return true
+}
+
+// Idle is the number of idle connections.
+func (p *Pool) Idle() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, list := range p.idle {
+		n += len(list)
+	}
+	return n
+}
+
+// open starts a new connection and gives it its first attempt.
+func (p *Pool) open(a *Attempt, dial string) {
+	if !p.Budget.Dial() && !(p.EvictIdle() && p.Budget.Dial()) {
+		slog.Warn("no descriptor free for a data server", "node", a.node)
+		a.finish(Result{Outcome: notSent})
+		return
+	}
+	c := newConn(p, a.node, dial)
+	p.mu.Lock()
+	if p.closed {
+		p.mu.Unlock()
+		p.Budget.Free()
+		a.finish(Result{Outcome: notSent})
+		return
+	}
+	p.all[c] = struct{}{}
+	p.mu.Unlock()
+	go c.run(a)
+}
+
+// dialer is what connects; the descriptor is the budget's.
+func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	tcp, ok := conn.(*net.TCPConn)
+	if invariant.Check(ok, "a dialled connection is TCP") {
+		tcp.SetNoDelay(true)
+	}
+	return conn, nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,154 @@
+// Package config reads what a router is told at its start: the NODE_*
+// variables and the JSON file that one of them names.
+package config
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	jsoniter "github.com/json-iterator/go"
+
+	"lotushook/balance"
+	"lotushook/internal/discovery"
+	"lotushook/internal/settings"
+)
+
+// Config is a router's configuration, validated.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Limits    Limits
+	Known     *discovery.List // the list as this router last had it; nil when none was kept
+	Settings  *settings.Settings
+}
+
+// Limits are what the platform allows the process.
+type Limits struct {
+	Cores    float64 `json:"cores"`
+	MemoryMB int64   `json:"memory_mb"`
+	Sockets  int     `json:"sockets"`
+}
+
+type file struct {
+	Name      string              `json:"name"`
+	Listen    string              `json:"listen"`
+	Discovery string              `json:"discovery"`
+	Seed      string              `json:"seed"`
+	Limits    Limits              `json:"limits"`
+	Known     jsoniter.RawMessage `json:"known"`
+	Settings  jsoniter.RawMessage `json:"settings"`
+}
+
+// Load reads the file that NODE_CONFIG names; the other variables, where set,
+// go before what the file says.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("NODE_CONFIG")
+	if path == "" {
+		return nil, errors.New("config: NODE_CONFIG is not set")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return parse(raw, getenv)
+}
+
+// Check reads a configuration file by itself.
+func Check(path string) (*Config, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	return parse(raw, func(string) string { return "" })
+}
+
+func parse(raw []byte, getenv func(string) string) (*Config, error) {
+	var f file
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &f); err != nil {
+		return nil, fmt.Errorf("config: not valid JSON: %w", err)
+	}
+	c := &Config{Name: or(getenv("NODE_NAME"), f.Name), Listen: or(getenv("NODE_LISTEN"), f.Listen),
+		Discovery: or(getenv("NODE_DISCOVERY"), f.Discovery), Limits: f.Limits}
+	var errs []error
+	check := func(field string, err error) {
+		if err != nil {
+			errs = append(errs, fmt.Errorf("%s: %w", field, err))
+		}
+	}
+	if c.Name == "" {
+		check("name", errors.New("missing"))
+	}
+	check("listen", address(c.Listen))
+	check("discovery", address(c.Discovery))
+	check("limits", c.Limits.validate())
+	var err error
+	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		check("seed", fmt.Errorf("not 64 bits in hex: %q", f.Seed))
+	}
+	if len(f.Known) > 0 && string(f.Known) != "null" {
+		c.Known, err = discovery.Parse(f.Known)
+		check("known", err)
+	}
+	c.Settings, err = settings.Parse(f.Settings)
+	if check("settings", err); err == nil {
+		_, err = balance.New(c.Settings.Balance, c.Seed)
+		check("settings", err)
+		check("settings.limits", spans(c.Settings))
+	}
+	if len(errs) > 0 {
+		return nil, fmt.Errorf("config: %w", oneLine(errs))
+	}
+	return c, nil
+}
+
+// oneLine joins errors so that they print on a single line.
+func oneLine(errs []error) error {
+	out := errs[0]
+	for _, err := range errs[1:] {
+		out = fmt.Errorf("%w; %w", out, err)
+	}
+	return out
+}
+
+func or(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
+
+func address(s string) error {
+	a, err := netip.ParseAddrPort(s)
+	if err != nil {
+		return fmt.Errorf("not an address with a port: %q", s)
+	}
+	if !a.Addr().IsValid() {
+		return fmt.Errorf("no address: %q", s)
+	}
+	return nil
+}
+
+func (l Limits) validate() error {
+	const leastMemory, leastSockets = 16, 64
+	switch {
+	case !(l.Cores > 0):
+		return fmt.Errorf("cores: %v is not above 0", l.Cores)
+	case l.MemoryMB < leastMemory:
+		return fmt.Errorf("memory_mb: %d, at least %d needed", l.MemoryMB, leastMemory)
+	case l.Sockets < leastSockets:
+		return fmt.Errorf("sockets: %d, at least %d needed", l.Sockets, leastSockets)
+	}
+	return nil
+}
+
+func spans(s *settings.Settings) error {
+	if s.IdleClose <= 0 || s.ConnectTimeout <= 0 {
+		return errors.New("idleClose, connectTimeout: missing or not above 0")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/invariant/debug.go
@@ -0,0 +1,6 @@
+//go:build debug
+
+package invariant
+
+// Debug says that a broken invariant stops the program.
+const Debug = true
--- /dev/null
+++ b/internal/pgwire/message.go
@@ -0,0 +1,292 @@
+// Package pgwire is the codec of PostgreSQL's wire protocol, version 3, as far
+// as routers, their clients and data servers speak it: startup and simple
+// queries. It touches no sockets and makes no choices.
+package pgwire
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+
+	"lotushook/internal/ring"
+)
+
+// The kinds of messages, by their first byte on the wire.
+const (
+	Query               = 'Q'
+	Terminate           = 'X'
+	Parse               = 'P'
+	Bind                = 'B'
+	Describe            = 'D'
+	Execute             = 'E'
+	Close               = 'C'
+	Flush               = 'H'
+	Sync                = 'S'
+	FunctionCall        = 'F'
+	Authentication      = 'R'
+	ParameterStatus     = 'S'
+	BackendKeyData      = 'K'
+	ReadyForQuery       = 'Z'
+	RowDescription      = 'T'
+	DataRow             = 'D'
+	CommandComplete     = 'C'
+	EmptyQueryResponse  = 'I'
+	ErrorResponse       = 'E'
+	NoticeResponse      = 'N'
+	NotificationMessage = 'A'
+)
+
+// The codes of an ErrorResponse that a router or a data server uses.
+const (
+	CodeProtocolViolation  = "08P01"
+	CodeNotSupported       = "0A000"
+	CodeReadOnly           = "25006" // a write, and this is no primary
+	CodeTooFarBehind       = "72000"
+	CodeSyntax             = "42601"
+	CodeDuplicate          = "42710"
+	CodeTooManyConnections = "53300"
+	CodeTooLarge           = "54000"
+	CodeCannotConnectNow   = "57P03"
+	CodeFailed             = "58000" // a router's failed: it promises nothing
+	CodeInternal           = "XX000"
+)
+
+const (
+	head       = 5 // a message's kind and length
+	versionTwo = 196608
+	sslCode    = 80877103
+	gssCode    = 80877104
+	cancelCode = 80877102
+	longest    = 1 << 30
+	maxStartup = 10000 // as PostgreSQL itself allows
+)
+
+// ErrMalformed is wrapped by what breaks the framing.
+var ErrMalformed = errors.New("malformed message")
+
+// ErrShort says that a message has not come whole yet.
+var ErrShort = errors.New("message not whole yet")
+
+// Message is one message; its body is good until its buffer changes.
+type Message struct {
+	Kind byte
+	Body []byte
+	Size int // on the wire, all in all
+}
+
+// TooLong is a message that doesn't fit its buffer. Framing is intact: after
+// Size bytes the next one begins.
+type TooLong struct {
+	Kind byte
+	Size int
+}
+
+func (e *TooLong) Error() string {
+	return fmt.Sprintf("message %q of %d bytes is too long", e.Kind, e.Size)
+}
+
+// Next returns the first message in the buffer, ErrShort when there is none
+// whole, *TooLong, or an error that wraps ErrMalformed. The caller discards
+// Size bytes once it has read the message.
+func Next(b *ring.Buffer) (Message, error) {
+	h := b.Peek(head)
+	if len(h) < head {
+		return Message{}, ErrShort
+	}
+	kind, n := h[0], int(int32(binary.BigEndian.Uint32(h[1:])))
+	if n < 4 || n > longest {
+		return Message{}, fmt.Errorf("%w: %q of length %d", ErrMalformed, kind, n)
+	}
+	size := n + 1
+	if size > b.Cap() {
+		return Message{}, &TooLong{kind, size}
+	}
+	if b.Len() < size {
+		if err := b.Grow(size); err != nil {
+			return Message{}, err
+		}
+		return Message{}, ErrShort
+	}
+	return Message{kind, b.Peek(size)[head:], size}, nil
+}
+
+// StartKind says what the first message on a connection asks for.
+type StartKind int
+
+// The kinds of first messages.
+const (
+	Startup        StartKind = iota + 1 // begin a session
+	EncryptRequest                      // TLS or GSS: answered N, then another first message
+	CancelRequest                       // never answered
+)
+
+// NextStart reads the untyped first message: its kind and size, with errors as Next.
+func NextStart(b *ring.Buffer) (StartKind, int, error) {
+	h := b.Peek(8)
+	if len(h) < 8 {
+		if len(h) >= 4 {
+			if n := int(int32(binary.BigEndian.Uint32(h))); n < 8 || n > maxStartup {
+				return 0, 0, fmt.Errorf("%w: startup of length %d", ErrMalformed, n)
+			}
+		}
+		return 0, 0, ErrShort
+	}
+	n, code := int(int32(binary.BigEndian.Uint32(h))), binary.BigEndian.Uint32(h[4:])
+	if n < 8 || n > maxStartup {
+		return 0, 0, fmt.Errorf("%w: startup of length %d", ErrMalformed, n)
+	}
+	if b.Len() < n {
+		if err := b.Grow(n); err != nil {
+			return 0, 0, err
+		}
+		return 0, 0, ErrShort
+	}
+	switch {
+	case code == sslCode || code == gssCode:
+		return EncryptRequest, n, nil
+	case code == cancelCode:
+		return CancelRequest, n, nil
+	case code>>16 != versionTwo>>16:
+		return 0, 0, fmt.Errorf("%w: protocol version %d.%d", ErrMalformed, code>>16, code&0xffff)
+	}
+	if err := checkParams(b.Peek(n)[8:]); err != nil {
+		return 0, 0, err
+	}
+	return Startup, n, nil
+}
+
+// checkParams wants pairs of strings and one closing zero.
+func checkParams(p []byte) error {
+	for count := 0; ; count++ {
+		s, rest, ok := cstring(p)
+		switch {
+		case !ok:
+			return fmt.Errorf("%w: startup parameters don't end", ErrMalformed)
+		case s == "" && count%2 == 0 && len(rest) == 0:
+			return nil
+		case s == "" && count%2 == 0:
+			return fmt.Errorf("%w: bytes behind the startup parameters", ErrMalformed)
+		}
+		p = rest
+	}
+}
+
+func cstring(p []byte) (string, []byte, bool) {
+	for i, c := range p {
+		if c == 0 {
+			return string(p[:i]), p[i+1:], true
+		}
+	}
+	return "", nil, false
+}
+
+// QueryText is the statement in the body of a Query.
+func QueryText(body []byte) (string, error) {
+	s, rest, ok := cstring(body)
+	if !ok || len(rest) > 0 {
+		return "", fmt.Errorf("%w: a query does not end with its only zero", ErrMalformed)
+	}
+	return s, nil
+}
+
+// ErrorCode is the code in the body of an ErrorResponse.
+func ErrorCode(body []byte) (string, error) {
+	for len(body) > 0 && body[0] != 0 {
+		field := body[0]
+		s, rest, ok := cstring(body[1:])
+		if !ok {
+			break
+		}
+		if field == 'C' {
+			return s, nil
+		}
+		body = rest
+	}
+	return "", fmt.Errorf("%w: an error without a code", ErrMalformed)
+}
+
+// Parameter is the name and value in the body of a ParameterStatus.
+func Parameter(body []byte) (name, value string, err error) {
+	name, rest, ok := cstring(body)
+	if ok {
+		if value, rest, ok = cstring(rest); ok && len(rest) == 0 {
+			return name, value, nil
+		}
+	}
+	return "", "", fmt.Errorf("%w: a parameter status", ErrMalformed)
+}
+
+// Column is the one column in the body of a DataRow; nil is NULL.
+func Column(body []byte) ([]byte, error) {
+	bad := fmt.Errorf("%w: not a row of one column", ErrMalformed)
+	if len(body) < 6 || binary.BigEndian.Uint16(body) != 1 {
+		return nil, bad
+	}
+	n := int(int32(binary.BigEndian.Uint32(body[2:])))
+	if n == -1 && len(body) == 6 {
+		return nil, nil
+	}
+	if n < 0 || len(body) != 6+n {
+		return nil, bad
+	}
+	return body[6:], nil
+}
+
+// Columns is the number of columns in the body of a RowDescription.
+func Columns(body []byte) (int, error) {
+	if len(body) < 2 {
+		return 0, fmt.Errorf("%w: a row description", ErrMalformed)
+	}
+	return int(binary.BigEndian.Uint16(body)), nil
+}
+
+// IsAuthOK says whether the body of an Authentication lets us in.
+func IsAuthOK(body []byte) bool { return len(body) == 4 && binary.BigEndian.Uint32(body) == 0 }
+
+// Append appends a message.
+func Append(out []byte, kind byte, body []byte) []byte {
+	out = append(out, kind)
+	out = binary.BigEndian.AppendUint32(out, uint32(4+len(body)))
+	return append(out, body...)
+}
+
+// AppendStartup appends the first message of a client.
+func AppendStartup(out []byte, user, database string) []byte {
+	body := binary.BigEndian.AppendUint32(nil, versionTwo)
+	for _, s := range []string{"user", user, "database", database, ""} {
+		body = append(append(body, s...), 0)
+	}
+	out = binary.BigEndian.AppendUint32(out, uint32(4+len(body)))
+	return append(out, body...)
+}
+
+// AppendWelcome appends what a server says to a startup message.
+func AppendWelcome(out []byte) []byte {
+	out = Append(out, Authentication, []byte{0, 0, 0, 0})
+	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
+		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}, {"integer_datetimes", "on"}} {
+		out = Append(out, ParameterStatus, []byte(p[0]+"\x00"+p[1]+"\x00"))
+	}
+	out = Append(out, BackendKeyData, make([]byte, 8))
+	return AppendReady(out)
+}
+
+// AppendReady appends ReadyForQuery, outside a transaction.
+func AppendReady(out []byte) []byte { return Append(out, ReadyForQuery, []byte{'I'}) }
+
+// AppendQuery appends a simple query.
+func AppendQuery(out []byte, statement string) []byte {
+	out = append(out, Query)
+	out = binary.BigEndian.AppendUint32(out, uint32(5+len(statement)))
+	out = append(out, statement...)
+	return append(out, 0)
+}
+
+// AppendError appends an ErrorResponse. detail may be empty.
+func AppendError(out []byte, severity, code, message, detail string) []byte {
+	body := []byte("S" + severity + "\x00V" + severity + "\x00C" + code + "\x00M" + message + "\x00")
+	if detail != "" {
+		body = append(body, ("D" + detail + "\x00")...)
+	}
+	return Append(out, ErrorResponse, append(body, 0))
+}
--- /dev/null
+++ b/internal/router/owner.go
@@ -0,0 +1,164 @@
+package router
+
+import (
+	"container/heap"
+	"context"
+	"log/slog"
+	"time"
+
+	"lotushook/balance"
+	"lotushook/internal/invariant"
+)
+
+const (
+	queuedEvents = 4096
+	mostLines    = 500 // of the module's own log
+)
+
+// event is what the owner hears: an event for the module, with the request that
+// it concerns, or the end of a request.
+type event struct {
+	balance.Event
+	req   *request
+	after balance.Nanos // RequestIn: the position that the read must see
+	over  bool          // the request's task has ended
+}
+
+// owner is the one goroutine that holds the module. It drains the queued events
+// into one step and hands the actions on; it never waits for a socket.
+type owner struct {
+	module   *balance.Balancer
+	router   *Router
+	events   chan event
+	requests map[string]*request // from RequestIn to the end of the task
+	timers   timers
+	batch    []balance.Event
+	count    int
+	lines    int
+}
+
+func newOwner(module *balance.Balancer, r *Router) *owner {
+	return &owner{module: module, router: r, events: make(chan event, queuedEvents), requests: map[string]*request{}}
+}
+
+func (o *owner) run(ctx context.Context) {
+	wake := time.NewTimer(time.Hour)
+	defer wake.Stop()
+	for {
+		if len(o.timers) > 0 {
+			wake.Reset(time.Until(o.router.clock.at(o.timers[0].at)))
+		} else {
+			wake.Reset(time.Hour)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-o.events:
+			o.take(e)
+		case <-wake.C:
+		}
+		for n := len(o.events); n > 0; n-- {
+			o.take(<-o.events)
+		}
+		o.step()
+	}
+}
+
+// take puts an event into the batch, unless it is not the module's business.
+func (o *owner) take(e event) {
+	if e.over {
+		if o.requests[e.req.id] == e.req {
+			delete(o.requests, e.req.id)
+		}
+		return
+	}
+	if e.Kind == balance.RequestIn {
+		if o.requests[e.Request] != nil {
+			e.req.hand(balance.Action{Kind: balance.Fail}) // the module ignores a live id
+			return
+		}
+		if len(o.requests) >= o.router.conf.Settings.Balance.MaxHeld {
+			e.req.hand(balance.Action{Kind: balance.Refuse})
+			return
+		}
+		o.count++
+		o.requests[e.Request] = e.req
+		if e.after > 0 {
+			e.TokenAge = max(1, o.router.clock.now()-e.after)
+		}
+	}
+	o.batch = append(o.batch, e.Event)
+}
+
+func (o *owner) step() {
+	now := o.router.clock.now()
+	for len(o.timers) > 0 && o.timers[0].at <= now {
+		t := heap.Pop(&o.timers).(timer)
+		o.batch = append(o.batch, balance.Event{Kind: balance.Wakeup, Tag: t.tag})
+	}
+	if len(o.batch) == 0 {
+		return
+	}
+	for _, a := range o.module.Step(now, o.batch) {
+		o.act(a)
+	}
+	clear(o.batch)
+	o.batch = o.batch[:0]
+}
+
+// act hands one action on.
+func (o *owner) act(a balance.Action) {
+	switch a.Kind {
+	case balance.Send, balance.Refuse, balance.Fail, balance.Cancel:
+		r := o.requests[a.Request]
+		if invariant.Check(r != nil, "the module acts for a request that is here", "kind", a.Kind) {
+			r.hand(a)
+		}
+	case balance.Timer:
+		heap.Push(&o.timers, timer{a.At, a.Tag})
+	case balance.Probe:
+		go o.router.probe(a.Node)
+	case balance.Follow: // discovery is always followed
+	case balance.Log:
+		if o.lines++; o.lines <= mostLines {
+			slog.Info("module", "says", a.Text)
+		}
+	}
+}
+
+// probe asks a node for its report and tells the module.
+func (r *Router) probe(node uint32) {
+	res, rep := r.pool.Probe(node, r.conf.Settings.ConnectTimeout)
+	e := balance.Event{Kind: balance.ProbeDone, Node: node, Outcome: res.Outcome}
+	if res.Outcome == balance.Done {
+		e.Position = rep.Position * 1e6
+		if rep.HasRole {
+			e.Role = balance.Replica
+			if rep.Primary {
+				e.Role = balance.Primary
+			}
+		}
+		e.Reported, e.Waiting, e.Active = rep.HasLoad, rep.Waiting, rep.Active
+	} else {
+		slog.Debug("probe", "node", node, "outcome", res.Outcome, "err", res.Err)
+	}
+	r.owner.events <- event{Event: e}
+}
+
+type timer struct {
+	at  balance.Nanos
+	tag int64
+}
+
+type timers []timer
+
+func (t timers) Len() int           { return len(t) }
+func (t timers) Less(i, j int) bool { return t[i].at < t[j].at }
+func (t timers) Swap(i, j int)      { t[i], t[j] = t[j], t[i] }
+func (t *timers) Push(x any)        { *t = append(*t, x.(timer)) }
+func (t *timers) Pop() any {
+	old := *t
+	x := old[len(old)-1]
+	*t = old[:len(old)-1]
+	return x
+}
--- /dev/null
+++ b/internal/router/request.go
@@ -0,0 +1,145 @@
+package router
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"lotushook/balance"
+	"lotushook/internal/backend"
+	"lotushook/internal/invariant"
+	"lotushook/internal/pgwire"
+)
+
+const (
+	margin  = 20 * time.Millisecond // of a client's wait: the way here, and the way back
+	silence = 15 * time.Millisecond // past the deadline the module's word is not waited for longer
+	mailbox = 8                     // one attempt and one final answer at a time, and what they cross
+)
+
+// request is one client's request; its task is run.
+type request struct {
+	pgwire.Request
+	id       string
+	router   *Router
+	client   *client
+	came     balance.Nanos
+	deadline balance.Nanos
+	acts     chan balance.Action
+}
+
+// hand gives the task an action; the owner must never wait for it.
+func (r *request) hand(a balance.Action) {
+	select {
+	case r.acts <- a:
+	default:
+		invariant.Check(false, "a request's mailbox has room", "kind", a.Kind)
+	}
+}
+
+// tell puts an event of this request to the module.
+func (r *request) tell(e balance.Event) {
+	e.Request = r.id
+	r.router.owner.events <- event{Event: e, req: r}
+}
+
+// run is the life of the request, from its arrival to its one final answer,
+// which it returns; nil when the client has left.
+func (r *request) run() []byte {
+	set := r.router.conf.Settings
+	defer func() { r.router.owner.events <- event{req: r, over: true} }()
+
+	// The module is told, and from now on says what to do.
+	in := event{req: r, Event: balance.Event{Kind: balance.RequestIn, Request: r.id, Class: set.Class(r.Class),
+		Tenant: -1, Session: r.Session, Deadline: r.deadline, Group: r.Cluster}}
+	if r.HasPos {
+		in.after = max(1, r.After*1e6)
+	}
+	r.router.owner.events <- in
+
+	overdue := time.NewTimer(time.Until(r.router.clock.at(r.deadline).Add(silence)))
+	defer overdue.Stop()
+	attempts := 0
+	for {
+		// Hold it until the module has a word for it.
+		var act balance.Action
+		select {
+		case act = <-r.acts:
+		case <-r.client.left:
+			r.tell(balance.Event{Kind: balance.RequestGone})
+			return nil
+		case <-overdue.C:
+			invariant.Check(false, "the module ends each request by its deadline")
+			r.tell(balance.Event{Kind: balance.RequestGone})
+			return failed("no answer in time")
+		}
+		switch act.Kind {
+		case balance.Refuse:
+			return refused(act.Wait)
+		case balance.Fail:
+			return failed("failed")
+		case balance.Send:
+		default:
+			continue // a cancel that crossed the attempt's own end
+		}
+
+		// One attempt, and never another while it is open.
+		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Until), func() []byte { return r.word() })
+		res, here := r.await(a, act)
+		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
+			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
+		attempts++
+		r.tell(done)
+		if !here {
+			return nil
+		}
+		if res.Outcome == balance.Done {
+			return pgwire.AppendReady(res.Answer)
+		}
+	}
+}
+
+// await waits for an attempt's end: its answer, its time, the module's cancel,
+// or the client's leaving, after which here is false.
+func (r *request) await(a *backend.Attempt, act balance.Action) (res backend.Result, here bool) {
+	late := time.NewTimer(time.Until(r.router.clock.at(act.Until)))
+	defer late.Stop()
+	left, here := r.client.left, true
+	for {
+		select {
+		case res = <-a.Done():
+			return res, here
+		case <-late.C:
+			return a.Abort(balance.TimedOut), here
+		case <-left:
+			left, here = nil, false
+			r.tell(balance.Event{Kind: balance.RequestGone})
+			if !r.router.conf.Settings.Balance.Cancel {
+				continue
+			}
+		case act := <-r.acts:
+			if invariant.Check(act.Kind == balance.Cancel, "no action but a cancel while an attempt is open", "kind", act.Kind) {
+				return a.Abort(balance.Canceled), here
+			}
+		}
+	}
+}
+
+// word is the query as it goes to a data server now.
+func (r *request) word() []byte {
+	return r.AppendTo(nil, time.Until(r.router.clock.at(r.deadline)))
+}
+
+// refused is the answer that a repeat does no harm; wait, where not 0, is when
+// to come again.
+func refused(wait balance.Nanos) []byte {
+	detail := ""
+	if wait > 0 {
+		detail = strconv.FormatInt((wait+1e6-1)/1e6, 10)
+	}
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeTooManyConnections, "refused: nothing ran", detail))
+}
+
+func failed(why string) []byte {
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, fmt.Sprintf("request %s", why), ""))
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,13 +1,66 @@
-// Package wire translates between the simulator's JSON dialect and the types
-// of package balance. It decides nothing.
-package wire
+// Package settings turns the settings object, which the simulator's first
+// message and a router's configuration share, into the module's types.
+package settings
 
 import (
+	"errors"
 	"fmt"
+	"time"
+
+	jsoniter "github.com/json-iterator/go"
 
 	"lotushook/balance"
 )
 
+// Settings is the settings object as one router uses it.
+type Settings struct {
+	Balance        balance.Settings
+	Fields         []string      // what a load report holds, in order
+	Zero           balance.Nanos // the simulator's positions count from here
+	IdleClose      time.Duration // data servers close connections that stood idle so long
+	ConnectTimeout time.Duration // a connection not up by then has failed
+
+	classes, tenants map[string]int
+}
+
+// Parse reads a settings object. Keys that it doesn't know are passed over.
+func Parse(raw []byte) (*Settings, error) {
+	if len(raw) == 0 {
+		return nil, errors.New("no settings object")
+	}
+	var e env
+	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &e); err != nil {
+		return nil, err
+	}
+	b, err := e.settings()
+	if err != nil {
+		return nil, err
+	}
+	s := &Settings{Balance: b, Fields: e.Report.Fields, Zero: e.Domain.Zero,
+		IdleClose: time.Duration(e.Limits.IdleClose), ConnectTimeout: time.Duration(e.Limits.ConnectTimeout),
+		classes: map[string]int{}, tenants: map[string]int{}}
+	for i, c := range b.Classes {
+		s.classes[c.Name] = i
+	}
+	for i, t := range b.Tenants {
+		s.tenants[t.Name] = i
+	}
+	return s, nil
+}
+
+// Class is the index of a class in Balance.Classes, -1 when there is none of that name.
+func (s *Settings) Class(name string) int { return index(s.classes, name) }
+
+// Tenant is the index of a tenant in Balance.Tenants, -1 when there is none of that name.
+func (s *Settings) Tenant(name string) int { return index(s.tenants, name) }
+
+func index(names map[string]int, name string) int {
+	if i, ok := names[name]; ok {
+		return i
+	}
+	return -1
+}
+
 type envClass struct {
 	Name      string        `json:"name"`
 	Effect    string        `json:"effect"`
@@ -38,12 +91,14 @@
 		Zero       balance.Nanos   `json:"zero"`
 	} `json:"domain"`
 	Limits struct {
-		Cancel        bool          `json:"cancel"`
-		MaxAttempts   int           `json:"maxAttempts"`
-		MaxRetryAfter balance.Nanos `json:"maxRetryAfter"`
-		MostHeld      int           `json:"mostHeld"`
-		Probing       bool          `json:"probing"`
-		RetryAfter    bool          `json:"retryAfter"`
+		Cancel         bool          `json:"cancel"`
+		MaxAttempts    int           `json:"maxAttempts"`
+		MaxRetryAfter  balance.Nanos `json:"maxRetryAfter"`
+		MostHeld       int           `json:"mostHeld"`
+		Probing        bool          `json:"probing"`
+		RetryAfter     bool          `json:"retryAfter"`
+		IdleClose      balance.Nanos `json:"idleClose"`
+		ConnectTimeout balance.Nanos `json:"connectTimeout"`
 	} `json:"limits"`
 	Penalties struct {
 		LateFail float64 `json:"lateFail"`
@@ -73,16 +128,10 @@
 		"bounce": balance.BehindRefuse, "await": balance.BehindWait}
 	roleViews = map[string]balance.RoleView{"": balance.RoleHidden, "none": balance.RoleHidden,
 		"static": balance.RoleStatic, "trailing": balance.RoleTrailing}
-	outcomes = map[string]balance.Outcome{"done": balance.Done, "err": balance.Failed,
-		"busy": balance.Busy, "etimedout": balance.TimedOut, "econnrefused": balance.Refused,
-		"econnreset": balance.Reset, "ecanceled": balance.Canceled, "skipped": balance.Skipped,
-		"enoent": balance.Miss}
-	lifecycles = map[string]balance.Lifecycle{"": balance.Ready, "ready": balance.Ready,
-		"draining": balance.Draining, "gone": balance.Gone}
 )
 
-// word looks up one of the dialect's words.
-func word[T any](table map[string]T, field, text string) (T, error) {
+// Word looks up one of the dialect's words.
+func Word[T any](table map[string]T, field, text string) (T, error) {
 	v, ok := table[text]
 	if !ok {
 		return v, fmt.Errorf("%s: unknown word %q", field, text)
@@ -94,13 +143,13 @@
 	out := balance.Class{Name: c.Name, Aim: c.Objective, Deadline: c.Deadline, Window: c.Window,
 		Bound: bound, Worth: c.Gain, LateWorth: c.LateWorth}
 	var err error
-	if out.Read, err = word(reads, "classRead", read); err != nil {
+	if out.Read, err = Word(reads, "classRead", read); err != nil {
 		return out, err
 	}
-	if out.Effect, err = word(effects, "effect", c.Effect); err != nil {
+	if out.Effect, err = Word(effects, "effect", c.Effect); err != nil {
 		return out, err
 	}
-	out.Scope, err = word(scopes, "keyScope", c.KeyScope)
+	out.Scope, err = Word(scopes, "keyScope", c.KeyScope)
 	return out, err
 }
 
@@ -135,9 +184,9 @@
 		s.Classes = append(s.Classes, class)
 	}
 	var err error
-	if s.Behind, err = word(behinds, "behind", e.Domain.Behind); err != nil {
+	if s.Behind, err = Word(behinds, "behind", e.Domain.Behind); err != nil {
 		return s, err
 	}
-	s.RoleView, err = word(roleViews, "showsRole", e.Domain.ShowsRole)
+	s.RoleView, err = Word(roleViews, "showsRole", e.Domain.ShowsRole)
 	return s, err
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,13 +1,28 @@
+// Package wire translates between the simulator's JSON dialect and the types
+// of package balance. It decides nothing.
 package wire
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
 	"math"
 	"strconv"
 
+	jsoniter "github.com/json-iterator/go"
+
 	"lotushook/balance"
+	"lotushook/internal/settings"
+)
+
+var json = jsoniter.ConfigCompatibleWithStandardLibrary
+
+var (
+	outcomes = map[string]balance.Outcome{"done": balance.Done, "err": balance.Failed,
+		"busy": balance.Busy, "etimedout": balance.TimedOut, "econnrefused": balance.Refused,
+		"econnreset": balance.Reset, "ecanceled": balance.Canceled, "skipped": balance.Skipped,
+		"enoent": balance.Miss}
+	lifecycles = map[string]balance.Lifecycle{"": balance.Ready, "ready": balance.Ready,
+		"draining": balance.Draining, "gone": balance.Gone}
 )
 
 // Host keeps the instances of one process and turns lines into replies.
@@ -17,11 +32,8 @@
 }
 
 type instance struct {
-	router  *balance.Balancer
-	classes map[string]int
-	tenants map[string]int
-	fields  []string
-	zero    balance.Nanos
+	router *balance.Balancer
+	set    *settings.Settings
 }
 
 type entry struct {
@@ -35,26 +47,26 @@
 }
 
 type event struct {
-	What        string          `json:"what"`
-	Seed        uint64          `json:"initSeed"`
-	Env         json.RawMessage `json:"env"`
-	Page        int64           `json:"page"`
-	NodesList   []entry         `json:"nodesList"`
-	How         string          `json:"how"`
-	Handle      string          `json:"handle"`
-	Band        string          `json:"band"`
-	Owner       json.RawMessage `json:"owner"`
-	ClientKey   string          `json:"clientKey"`
-	ValidUntil  balance.Nanos   `json:"validUntil"`
-	Cluster     float64         `json:"cluster"`
-	LastWriteMs float64         `json:"lastWriteMs"`
-	SendNo      int             `json:"sendNo"`
-	Node        uint32          `json:"node"`
-	Result      string          `json:"result"`
-	Finished    bool            `json:"finished"`
-	Note        int64           `json:"note"`
-	Stats       []float64       `json:"stats"`
-	KeyBack     int64           `json:"keyBack"`
+	What        string              `json:"what"`
+	Seed        uint64              `json:"initSeed"`
+	Env         jsoniter.RawMessage `json:"env"`
+	Page        int64               `json:"page"`
+	NodesList   []entry             `json:"nodesList"`
+	How         string              `json:"how"`
+	Handle      string              `json:"handle"`
+	Band        string              `json:"band"`
+	Owner       jsoniter.RawMessage `json:"owner"`
+	ClientKey   string              `json:"clientKey"`
+	ValidUntil  balance.Nanos       `json:"validUntil"`
+	Cluster     float64             `json:"cluster"`
+	LastWriteMs float64             `json:"lastWriteMs"`
+	SendNo      int                 `json:"sendNo"`
+	Node        uint32              `json:"node"`
+	Result      string              `json:"result"`
+	Finished    bool                `json:"finished"`
+	Note        int64               `json:"note"`
+	Stats       []float64           `json:"stats"`
+	KeyBack     int64               `json:"keyBack"`
 }
 
 type batch struct {
@@ -151,27 +163,15 @@
 }
 
 func newInstance(e *event) (*instance, error) {
-	var settings env
-	if err := json.Unmarshal(e.Env, &settings); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
-	}
-	s, err := settings.settings()
+	set, err := settings.Parse(e.Env)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	router, err := balance.New(s, e.Seed)
+	router, err := balance.New(set.Balance, e.Seed)
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	in := &instance{router: router, classes: map[string]int{}, tenants: map[string]int{},
-		fields: settings.Report.Fields, zero: settings.Domain.Zero}
-	for i, c := range s.Classes {
-		in.classes[c.Name] = i
-	}
-	for i, t := range s.Tenants {
-		in.tenants[t.Name] = i
-	}
-	return in, nil
+	return &instance{router: router, set: set}, nil
 }
 
 // event translates one event; false means that the kind is not known.
@@ -182,19 +182,19 @@
 	case "peersKnown":
 		return in.list(e, pages)
 	case "incoming":
-		out = balance.Event{Kind: balance.RequestIn, Request: e.Handle, Class: index(in.classes, e.Band),
-			Tenant: index(in.tenants, text(e.Owner)), Session: e.ClientKey, Deadline: e.ValidUntil,
+		out = balance.Event{Kind: balance.RequestIn, Request: e.Handle, Class: in.set.Class(e.Band),
+			Tenant: in.set.Tenant(text(e.Owner)), Session: e.ClientKey, Deadline: e.ValidUntil,
 			Group:    int64(e.Cluster),
 			TokenAge: balance.Nanos(e.LastWriteMs * float64(millisecond))}
 	case "outcome":
 		out = balance.Event{Kind: balance.AttemptDone, Request: e.Handle, Attempt: e.SendNo, Node: e.Node,
 			Finished: e.Finished}
 		out.Role, out.Position = in.note(e.Note)
-		out.Outcome, err = word(outcomes, "result", e.Result)
+		out.Outcome, err = settings.Word(outcomes, "result", e.Result)
 	case "echo":
 		out = balance.Event{Kind: balance.ProbeDone, Node: e.Node}
 		in.report(e.Stats, &out)
-		out.Outcome, err = word(outcomes, "result", e.Result)
+		out.Outcome, err = settings.Word(outcomes, "result", e.Result)
 	case "abandoned":
 		out = balance.Event{Kind: balance.RequestGone, Request: e.Handle}
 	case "wakeup":
@@ -221,7 +221,7 @@
 		return out, false, nil
 	}
 	for _, n := range pages[e.Page] {
-		state, err := word(lifecycles, "lifecycle", n.Lifecycle)
+		state, err := settings.Word(lifecycles, "lifecycle", n.Lifecycle)
 		if err != nil {
 			return out, false, fmt.Errorf("node %d: %w", n.Node, err)
 		}
@@ -235,7 +235,7 @@
 func (in *instance) note(note int64) (balance.Role, balance.Nanos) {
 	var pos balance.Nanos
 	if ms := note / 4; ms > 0 {
-		pos = in.zero + ms*millisecond
+		pos = in.set.Zero + ms*millisecond
 	}
 	switch note % 4 {
 	case 1:
@@ -249,14 +249,14 @@
 // report reads role, position and load from a probe's report.
 func (in *instance) report(stats []float64, out *balance.Event) {
 	told := 0
-	for i, f := range in.fields {
+	for i, f := range in.set.Fields {
 		if i >= len(stats) {
 			break
 		}
 		switch f {
 		case "x0":
 			if stats[i] > 0 {
-				out.Position = in.zero + balance.Nanos(math.Floor(stats[i]*1e3))*millisecond
+				out.Position = in.set.Zero + balance.Nanos(math.Floor(stats[i]*1e3))*millisecond
 			}
 		case "x1":
 			out.Role = balance.Replica
@@ -274,15 +274,8 @@
 	out.Reported = told == 2
 }
 
-func index(names map[string]int, name string) int {
-	if i, ok := names[name]; ok {
-		return i
-	}
-	return -1
-}
-
 // text reads a name; other JSON, such as the 0 of a site without tenants, is none.
-func text(raw json.RawMessage) string {
+func text(raw jsoniter.RawMessage) string {
 	var s string
 	if json.Unmarshal(raw, &s) != nil {
 		return ""
