Tell the module of sends that crossed a leaving client; add the scenario tests

At fault: owner.take (forgot a request before the step that still acts for it) and request.run (left without an outcome). The owner now keeps a request until after the step and reports a send that was never made as skipped.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 type Attempt struct {
 	node   uint32
 	until  time.Time
-	word   func() []byte // the query, worded when it is written
+	word   func(io.Writer) error // writes the query, worded when it goes out
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan Result
@@ -41,7 +42,7 @@
 
 // Start begins an attempt on the most recently used idle connection, or on a
 // new one. It does not wait for a connection to come up.
-func (p *Pool) Start(node uint32, until time.Time, word func() []byte) *Attempt {
+func (p *Pool) Start(node uint32, until time.Time, word func(io.Writer) error) *Attempt {
 	a := &Attempt{node: node, until: until, word: word, done: make(chan Result, 1)}
 	a.ctx, a.cancel = context.WithDeadline(context.Background(), until)
 	dial, ready := p.Directory.Address(node)
@@ -68,6 +69,9 @@
 	c := a.conn
 	if !a.over {
 		a.over = true
+		if o == balance.TimedOut && c == nil { // it never came to a connection
+			o = balance.Refused
+		}
 		a.done <- Result{Outcome: o}
 	}
 	a.mu.Unlock()
@@ -109,7 +113,10 @@
 
 // Probe asks a node for its report. It waits for the answer.
 func (p *Pool) Probe(node uint32, wait time.Duration) (Result, pgwire.Report) {
-	a := p.Start(node, time.Now().Add(wait), func() []byte { return pgwire.AppendQuery(nil, "SHOW vitals") })
+	a := p.Start(node, time.Now().Add(wait), func(w io.Writer) error {
+		_, err := w.Write(pgwire.AppendQuery(nil, "SHOW vitals"))
+		return err
+	})
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var res Result
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -168,10 +168,13 @@
 		}
 		return
 	}
-	c.out.Write(a.word())
 	c.net.SetWriteDeadline(a.until)
-	_, err := c.out.WriteTo(c.net)
-	whole := c.out.Len() == 0
+	err := a.word(c.out)
+	whole := false
+	if err == nil {
+		_, err = c.out.WriteTo(c.net)
+		whole = c.out.Len() == 0
+	}
 	c.out.Discard(c.out.Len())
 	c.out.Idle()
 	if err != nil && !whole {
--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"strconv"
 	"strings"
 	"time"
@@ -124,11 +125,20 @@
 	return s
 }
 
-// AppendTo appends the request as a simple query, unchanged but for d, which
+// WriteQuery writes the request as a simple query, unchanged but for d, which
 // tells how long the router will wait.
-func (r *Request) AppendTo(out []byte, wait time.Duration) []byte {
+func (r *Request) WriteQuery(w io.Writer, wait time.Duration) error {
 	ms := strconv.FormatInt(max(1, wait.Milliseconds()), 10)
-	return AppendQuery(out, r.text[:r.from]+ms+r.text[r.behind:])
+	parts := []string{r.text[:r.from], ms, r.text[r.behind:]}
+	if _, err := w.Write(queryHead(len(parts[0]) + len(ms) + len(parts[2]))); err != nil {
+		return err
+	}
+	for _, p := range append(parts, "\x00") {
+		if _, err := io.WriteString(w, p); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 // Blank says whether a query holds nothing, which is answered at once.
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -276,10 +276,13 @@
 
 // AppendQuery appends a simple query.
 func AppendQuery(out []byte, statement string) []byte {
-	out = append(out, Query)
-	out = binary.BigEndian.AppendUint32(out, uint32(5+len(statement)))
-	out = append(out, statement...)
-	return append(out, 0)
+	out = append(out, queryHead(len(statement))...)
+	return append(append(out, statement...), 0)
+}
+
+// queryHead is what stands before a statement of so many bytes.
+func queryHead(statement int) []byte {
+	return binary.BigEndian.AppendUint32([]byte{Query}, uint32(4+statement+1))
 }
 
 // AppendError appends an ErrorResponse. detail may be empty.
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -42,11 +42,21 @@
 		return ErrFull
 	}
 	if need > len(b.buf) {
-		b.resize(min(b.cap, max(Least, 1<<bits.Len(uint(need-1)))))
+		b.resize(min(b.cap, round(need)))
 	}
 	return nil
 }
 
+// round goes up to a power of two, and from coarse on to a multiple of it, so
+// that a large message takes little more than its length.
+func round(n int) int {
+	const coarse = 16 << 10
+	if n > coarse {
+		return (n + coarse - 1) / coarse * coarse
+	}
+	return max(Least, 1<<bits.Len(uint(n-1)))
+}
+
 func (b *Buffer) resize(size int) {
 	buf := make([]byte, size)
 	b.copyOut(buf)
@@ -129,6 +139,19 @@
 	return n
 }
 
+// WriteString is Write of a string.
+func (b *Buffer) WriteString(s string) (int, error) {
+	if err := b.reserve(len(s)); err != nil {
+		return 0, err
+	}
+	for rest := s; len(rest) > 0; {
+		n := copy(b.room(), rest)
+		b.len += n
+		rest = rest[n:]
+	}
+	return len(s), nil
+}
+
 // Read takes bytes out; it returns io.EOF when none are held.
 func (b *Buffer) Read(p []byte) (int, error) {
 	if b.len == 0 && len(p) > 0 {
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -28,11 +28,12 @@
 	out    *ring.Buffer  // who has the turn to answer writes it
 	left   chan struct{} // closed once the client has gone
 	slots  chan struct{} // bounds what is pipelined
+	skip   bool          // the reader's: after an error in an extended query, up to the next Sync
 
 	mu     sync.Mutex
-	busy   int  // queries taken and not answered
-	closed bool // by us
-	skip   int  // bytes of an over-long message still to pass over
+	busy   int       // queries taken and not answered
+	idleAt time.Time // since when none is
+	closed bool      // by us
 	last   chan struct{}
 }
 
@@ -40,7 +41,7 @@
 	last := make(chan struct{})
 	close(last)
 	return &client{router: r, conn: conn, in: ring.New(longestQuery), out: ring.New(longestReply),
-		left: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
+		idleAt: time.Now(), left: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
 }
 
 // errDone ends a connection without anything being wrong.
@@ -107,19 +108,30 @@
 	case err != nil:
 		return err
 	}
-	defer c.in.Discard(m.Size)
+	defer func() {
+		c.in.Discard(m.Size)
+		c.in.Idle() // a large query is held once, as its text
+	}()
 	switch m.Kind {
 	case pgwire.Terminate:
 		return errDone
 	case pgwire.Sync:
+		c.skip = false
 		return c.local(tasks, pgwire.AppendReady(nil))
 	case pgwire.Flush:
 		return nil
 	case pgwire.Parse, pgwire.Bind, pgwire.Describe, pgwire.Execute, pgwire.Close:
+		if c.skip {
+			return nil
+		}
+		c.skip = true
 		return c.local(tasks, pgwire.AppendError(nil, "ERROR", pgwire.CodeNotSupported, "only simple queries are served", ""))
 	case pgwire.FunctionCall:
 		return c.local(tasks, problem(pgwire.CodeNotSupported, "only simple queries are served"))
 	case pgwire.Query:
+		if c.skip {
+			return nil
+		}
 		return c.query(tasks, m.Body)
 	}
 	return errUnknown(m.Kind)
@@ -196,6 +208,7 @@
 		<-c.slots
 		c.mu.Lock()
 		c.busy--
+		c.idleAt = time.Now()
 		c.mu.Unlock()
 		if c.router.isStopping() {
 			c.closeIfIdle()
@@ -221,6 +234,13 @@
 	return err
 }
 
+// idleSince is when the client was last answered; false while it waits.
+func (c *client) idleSince() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.idleAt, c.busy == 0 && !c.closed
+}
+
 // closeIfIdle closes the connection if no request of it is open.
 func (c *client) closeIfIdle() bool {
 	c.mu.Lock()
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -21,7 +21,7 @@
 	balance.Event
 	req   *request
 	after balance.Nanos // RequestIn: the position that the read must see
-	over  bool          // the request's task has ended
+	over  bool          // the request's task has ended; nothing of it comes after this
 }
 
 // owner is the one goroutine that holds the module. It drains the queued events
@@ -33,6 +33,7 @@
 	requests map[string]*request // from RequestIn to the end of the task
 	timers   timers
 	batch    []balance.Event
+	ended    []*request // tasks that ended in this batch
 	count    int
 	lines    int
 }
@@ -68,11 +69,14 @@
 func (o *owner) take(e event) {
 	if e.over {
 		if o.requests[e.req.id] == e.req {
-			delete(o.requests, e.req.id)
+			o.ended = append(o.ended, e.req)
 		}
 		return
 	}
-	if e.Kind == balance.RequestIn {
+	switch e.Kind {
+	case balance.AttemptDone:
+		e.req.told++
+	case balance.RequestIn:
 		if o.requests[e.Request] != nil {
 			e.req.hand(balance.Action{Kind: balance.Fail}) // the module ignores a live id
 			return
@@ -96,7 +100,7 @@
 		t := heap.Pop(&o.timers).(timer)
 		o.batch = append(o.batch, balance.Event{Kind: balance.Wakeup, Tag: t.tag})
 	}
-	if len(o.batch) == 0 {
+	if len(o.batch) == 0 && len(o.ended) == 0 {
 		return
 	}
 	for _, a := range o.module.Step(now, o.batch) {
@@ -104,6 +108,25 @@
 	}
 	clear(o.batch)
 	o.batch = o.batch[:0]
+	o.forget()
+}
+
+// forget drops the requests whose tasks have ended. A send that crossed the
+// task's end was never made: the module must hear so, or it would count the
+// attempt as pending for good.
+func (o *owner) forget() {
+	for _, r := range o.ended {
+		delete(o.requests, r.id)
+		if r.told < r.sent {
+			o.batch = append(o.batch, balance.Event{Kind: balance.AttemptDone, Request: r.id, Attempt: r.told,
+				Node: r.node, Outcome: balance.Skipped})
+		}
+	}
+	clear(o.ended)
+	o.ended = o.ended[:0]
+	if len(o.batch) > 0 {
+		o.step()
+	}
 }
 
 // act hands one action on.
@@ -112,6 +135,10 @@
 	case balance.Send, balance.Refuse, balance.Fail, balance.Cancel:
 		r := o.requests[a.Request]
 		if invariant.Check(r != nil, "the module acts for a request that is here", "kind", a.Kind) {
+			if a.Kind == balance.Send {
+				invariant.Check(r.sent == r.told, "one attempt of a request at a time")
+				r.sent, r.node = r.sent+1, a.Node
+			}
 			r.hand(a)
 		}
 	case balance.Timer:
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -1,7 +1,7 @@
 package router
 
 import (
-	"fmt"
+	"io"
 	"strconv"
 	"time"
 
@@ -26,6 +26,10 @@
 	came     balance.Nanos
 	deadline balance.Nanos
 	acts     chan balance.Action
+
+	// The owner's: sends handed over, ends of attempts heard, and the last send's node.
+	sent, told int
+	node       uint32
 }
 
 // hand gives the task an action; the owner must never wait for it.
@@ -84,7 +88,7 @@
 		}
 
 		// One attempt, and never another while it is open.
-		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Until), func() []byte { return r.word() })
+		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Until), r.word)
 		res, here := r.await(a, act)
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
 			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
@@ -113,10 +117,7 @@
 			return a.Abort(balance.TimedOut), here
 		case <-left:
 			left, here = nil, false
-			r.tell(balance.Event{Kind: balance.RequestGone})
-			if !r.router.conf.Settings.Balance.Cancel {
-				continue
-			}
+			r.tell(balance.Event{Kind: balance.RequestGone}) // a cancel follows, where cancels are allowed
 		case act := <-r.acts:
 			if invariant.Check(act.Kind == balance.Cancel, "no action but a cancel while an attempt is open", "kind", act.Kind) {
 				return a.Abort(balance.Canceled), here
@@ -125,9 +126,9 @@
 	}
 }
 
-// word is the query as it goes to a data server now.
-func (r *request) word() []byte {
-	return r.AppendTo(nil, time.Until(r.router.clock.at(r.deadline)))
+// word writes the query as it goes to a data server now.
+func (r *request) word(w io.Writer) error {
+	return r.WriteQuery(w, time.Until(r.router.clock.at(r.deadline)))
 }
 
 // refused is the answer that a repeat does no harm; wait, where not 0, is when
@@ -141,5 +142,5 @@
 }
 
 func failed(why string) []byte {
-	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, fmt.Sprintf("request %s", why), ""))
+	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, why, ""))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,10 +32,11 @@
 	owner  *owner
 	clock  clock
 
-	mu       sync.Mutex
-	clients  map[*client]struct{}
-	stopping bool
-	serving  sync.WaitGroup
+	acceptFor time.Duration // after being told to stop
+	mu        sync.Mutex
+	clients   map[*client]struct{}
+	stopping  bool
+	serving   sync.WaitGroup
 }
 
 // New returns a router that starts from the list that its configuration keeps.
@@ -45,7 +46,7 @@
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	r := &Router{conf: conf, dir: discovery.NewDirectory(), budget: budget.New(conf.Limits.Sockets),
-		clock: newClock(), clients: map[*client]struct{}{}}
+		clock: newClock(), clients: map[*client]struct{}{}, acceptFor: acceptAfter}
 	r.pool = backend.NewPool(backend.Options{Directory: r.dir, Budget: r.budget,
 		ConnectTimeout: conf.Settings.ConnectTimeout, IdleClose: conf.Settings.IdleClose})
 	r.owner = newOwner(module, r)
@@ -86,8 +87,8 @@
 		err = fmt.Errorf("router: accept: %w", err)
 		ln.Close()
 	case <-ctx.Done():
-		slog.Info("stopping", "accepting_for", acceptAfter)
-		time.Sleep(acceptAfter)
+		slog.Info("stopping", "accepting_for", r.acceptFor)
+		time.Sleep(r.acceptFor)
 		ln.Close()
 		<-failed
 	}
@@ -132,16 +133,18 @@
 	}
 }
 
-// closeIdleClient closes one client that has no request here, to make room.
+// closeIdleClient closes the client that has been idle longest, to make room.
 func (r *Router) closeIdleClient() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	var oldest *client
+	var since time.Time
 	for c := range r.clients {
-		if c.closeIfIdle() {
-			return true
+		if at, idle := c.idleSince(); idle && (oldest == nil || at.Before(since)) {
+			oldest, since = c, at
 		}
 	}
-	return false
+	return oldest != nil && oldest.closeIfIdle()
 }
 
 // drain closes the idle clients, and each other one once it is answered.
--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,258 @@
+package router
+
+import (
+	"context"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"lotushook/internal/config"
+	"lotushook/internal/invariant"
+	"lotushook/internal/scenario"
+)
+
+// stage is a running router with data servers s1 and s2 in group 1 and a silent
+// agent; clients are named c.
+func stage(t *testing.T, hosts ...string) (*scenario.Stage, context.CancelFunc, <-chan error) {
+	t.Helper()
+	s := scenario.New(t, "s1", "s2", "agent")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(hosts) == 0 {
+		hosts = []string{"h-1 " + s.Addr("s1") + " 1 SERVING"}
+	}
+	for i, h := range hosts {
+		hosts[i] = scenario.Expand(s, h)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	text := scenario.Config(ln.Addr().String(), s.Addr("agent"), scenario.List(1, hosts...))
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	conf, err := config.Check(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.acceptFor = 0
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Serve(ctx, ln); close(done) }()
+	broken := len(invariant.Counts())
+	t.Cleanup(func() {
+		s.Close()
+		stop()
+		<-done
+		if n := len(invariant.Counts()); n > broken {
+			t.Errorf("invariants broken: %v", invariant.Counts())
+		}
+	})
+	s.Dial("c", ln.Addr().String())
+	return s, stop, done
+}
+
+// Each scenario plays against a router with one data server, s1.
+func TestConversations(t *testing.T) {
+	for _, c := range []struct{ guards, text string }{
+		{"a query right behind the startup message is kept, and an empty one answered without a data server", `
+			send c1 startup | Q ""
+			expect c1 welcome | I | Z
+			send c1 Q " ; "
+			expect c1 I | Z`},
+		{"statement, id and k pass unchanged and d is rewritten; values pass as bytes; the connection is used again", `
+			send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ INSERT INTO objects (oid, body) VALUES ('x', '\\x9f') RETURNING body"
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ INSERT INTO objects (oid, body) VALUES ('x', '\\x9f') RETURNING body"
+			send s1 T | D "\x9f\x00\xff" | C | S rank=source | S as_of=1767225600000 | Z
+			expect c1 welcome | T | D "\x9f\x00\xff" | C | Z
+			send c1 Q "/* id=02,c=write,d=20000,k=ac,cluster=1 */ UPDATE"
+			expect s1 Q "/* id=02,c=write,d=#,k=ac,cluster=1 */ UPDATE"
+			send s1 T | D "w" | C | S rank=source | Z
+			expect c1 T | D "w" | C | Z`},
+		{"pipelined answers keep the order of the queries", `
+			send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+			wait s1 as x
+			expect x startup
+			send x welcome
+			expect x Q "/* id=01,c=read,d=#,cluster=1 */ A"
+			send c1 Q "" | Q "/* id=02,c=read,d=20000,cluster=1 */ B"
+			wait s1 as y
+			expect y startup
+			send y welcome
+			expect y Q "/* id=02,c=read,d=#,cluster=1 */ B"
+			send y T | D "b" | C | S rank=copy | Z
+			send x T | D "a" | C | S rank=copy | Z
+			expect c1 welcome | T | D "a" | C | Z | I | Z | T | D "b" | C | Z`},
+		{"a duplicate of a live id gets an answer of its own: the module ignores it", `
+			send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+			send c2 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+			expect c2 welcome | E 58000 | Z
+			send s1 T | D "a" | C | S rank=copy | Z
+			expect c1 welcome | T | D "a" | C | Z`},
+		{"when a client leaves, the attempt's connection is closed", `
+			send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+			close c1
+			expect s1 EOF`},
+		{"an unknown class is refused, as the module says, without a time to come back", `
+			send c1 startup | Q "/* id=01,c=odd,d=20000,cluster=1 */ A"
+			expect c1 welcome | E 53300 | Z`},
+		{"a bad comment is an error of its own and the connection goes on", `
+			send c1 startup | Q "SELECT 1" | Q "/* id=1 */ A" | Q "/* id=1,c=read,d=x */ A" | Q "/* id=1,c=read,d=1 A" | Q ""
+			expect c1 welcome | E 42601 | Z | E 42601 | Z | E 42601 | Z | E 42601 | Z | I | Z`},
+		{"extended queries get 0A000 and the next Sync sets things right", `
+			send c1 startup | P "x" | B "x" | S | Q ""
+			expect c1 welcome | E 0A000 | Z | I | Z`},
+		{"a request for TLS gets N, and the startup may follow", `
+			send c1 ssl
+			expect c1 raw "N"
+			send c1 startup
+			expect c1 welcome`},
+		{"an unknown message is fatal", `
+			send c1 startup | y "x"
+			expect c1 welcome | FATAL 08P01 | EOF`},
+		{"a length that can't be is fatal", `
+			send c1 startup | raw "Q\x00\x00\x00\x01"
+			expect c1 welcome | FATAL 08P01 | EOF`},
+		{"a startup of another protocol is fatal", `
+			send c1 raw "\x00\x00\x00\x08\x00\x02\x00\x00"
+			expect c1 FATAL 08P01 | EOF`},
+		{"a startup without an end of its parameters is fatal", `
+			send c1 raw "\x00\x00\x00\x0a\x00\x03\x00\x00us"
+			expect c1 FATAL 08P01 | EOF`},
+		{"Terminate ends the connection", `
+			send c1 startup | X
+			expect c1 welcome | EOF`},
+		{"a write that reached its server and broke may have run: one key, one more try, in the same group", `
+			send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ A"
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+			close s1
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+			send s1 T | D "v" | C | S rank=source | Z
+			expect c1 welcome | T | D "v" | C | Z`},
+	} {
+		t.Run(c.guards, func(t *testing.T) {
+			s, _, _ := stage(t)
+			s.Play(c.text)
+		})
+	}
+}
+
+// An over-long query is passed over and the connection goes on behind it.
+func TestOverLongQuery(t *testing.T) {
+	s, _, _ := stage(t)
+	long := make([]byte, 2*longestQuery)
+	for i := range long {
+		long[i] = 'x'
+	}
+	s.Set("long", string(long))
+	s.Play(`
+		send c1 startup | Q "{long}" | Q ""
+		expect c1 welcome | E 54000 | Z | I | Z`)
+}
+
+// A write that the first member turns away untouched goes to the next one.
+func TestMissMovesOn(t *testing.T) {
+	s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ A"
+		wait s2
+		expect s2 startup
+		send s2 welcome
+		expect s2 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+		send s2 E 25006 | S rank=copy | Z
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+		send s1 T | D "v" | C | S rank=source | Z
+		expect c1 welcome | T | D "v" | C | Z`)
+}
+
+// A data server's 53300 is never the answer: the module tries another one, and
+// only what the module refuses is refused.
+func TestBusyMovesOn(t *testing.T) {
+	s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=write,d=20000,cluster=1 */ A"
+		wait s2
+		expect s2 startup
+		send s2 welcome
+		expect s2 Q "/* id=01,c=write,d=#,cluster=1 */ A"
+		send s2 E 53300 | S rank=source | Z
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=write,d=#,cluster=1 */ A"
+		send s1 T | D "v" | C | S rank=source | Z
+		expect c1 welcome | T | D "v" | C | Z`)
+}
+
+// A node that discovery says drains gets nothing new, from the list on; the
+// idle connection to it is closed.
+func TestDrain(t *testing.T) {
+	s, _, _ := stage(t, "h-1 {s1} 1 SERVING")
+	s.Play(`
+		wait agent
+		expect agent line "GET /v1/endpoints HTTP/1.1"
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c1 welcome | T | D "v" | C | Z`)
+	list := scenario.List(2, scenario.Expand(s, "h-1 {s1} 1 DRAINING"), scenario.Expand(s, "h-2 {s2} 1 SERVING"))
+	s.Play(scenario.HTTP("agent", list))
+	s.Play(`
+		expect s1 EOF
+		send c1 Q "/* id=02,c=read,d=20000,cluster=1 */ A"
+		wait s2
+		expect s2 startup
+		send s2 welcome
+		expect s2 Q "/* id=02,c=read,d=#,cluster=1 */ A"
+		send s2 T | D "v" | C | S rank=copy | Z
+		expect c1 T | D "v" | C | Z`)
+}
+
+// Told to stop, a router finishes what it has and closes the idle clients.
+func TestStop(t *testing.T) {
+	s, stop, done := stage(t)
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		send c2 startup
+		expect c2 welcome
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	stop()
+	s.Play(`
+		expect c2 EOF
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c1 welcome | T | D "v" | C | Z | EOF`)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/scenario/scenario.go
@@ -0,0 +1,330 @@
+// Package scenario is a small language for tests of network code. A scenario is
+// a list of steps, one a line, done in order:
+//
+//	send c1 startup | Q "SELECT 1"     write messages
+//	expect c1 welcome | E 42601 | Z    read messages; they must be these
+//	close c1                           close the connection
+//	wait s1                            wait until somebody connects to peer s1
+//
+// A name that was given to Dial is a client and connects when it is first used;
+// one given to Listen is a server, and stands for the connection that wait took
+// last. "wait s1 as s2" names that connection s2.
+//
+// Messages of PostgreSQL's protocol are written as their kind and what counts:
+// startup, welcome, ssl, Q "text", T, D "value", C, Z, I, X, S name=value, E code, FATAL
+// code, D+ms in an error as E code ms. raw "bytes" is sent or expected as it
+// stands, line "text" is a line of text, and EOF is the connection's end. In
+// what is expected, # stands for a run of digits.
+package scenario
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lotushook/internal/pgwire"
+)
+
+// hang ends a scenario that is stuck. Nothing that passes comes near it.
+const hang = 30 * time.Second
+
+// Stage is where a scenario plays: its peers and their connections.
+type Stage struct {
+	t       testing.TB
+	servers map[string]net.Listener
+	dial    string
+	clients string // the prefix of their names
+	conns   map[string]*peer
+	subst   *strings.Replacer
+}
+
+type peer struct {
+	net.Conn
+	read *bufio.Reader
+}
+
+// New returns a stage with servers of these names on loopback.
+func New(t testing.TB, servers ...string) *Stage {
+	s := &Stage{t: t, servers: map[string]net.Listener{}, conns: map[string]*peer{}, subst: strings.NewReplacer()}
+	for _, name := range servers {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.servers[name] = ln
+		t.Cleanup(func() { ln.Close() })
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// Close ends all connections.
+func (s *Stage) Close() {
+	for _, p := range s.conns {
+		p.Close()
+	}
+}
+
+// Addr is where a server listens.
+func (s *Stage) Addr(name string) string { return s.servers[name].Addr().String() }
+
+// Shut stops a server from listening.
+func (s *Stage) Shut(name string) { s.servers[name].Close() }
+
+// Dial lets names that begin with prefix connect to an address.
+func (s *Stage) Dial(prefix, addr string) { s.clients, s.dial = prefix, addr }
+
+// Set replaces {name} by value in what follows.
+func (s *Stage) Set(pairs ...string) {
+	for i := 0; i < len(pairs); i += 2 {
+		pairs[i] = "{" + pairs[i] + "}"
+	}
+	s.subst = strings.NewReplacer(pairs...)
+}
+
+// Play does the steps of a scenario.
+func (s *Stage) Play(text string) {
+	s.t.Helper()
+	for i, line := range strings.Split(text, "\n") {
+		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if err := s.step(s.subst.Replace(line)); err != nil {
+			s.t.Fatalf("step %d, %s: %v", i, line, err)
+		}
+	}
+}
+
+func (s *Stage) step(line string) error {
+	verb, rest, _ := strings.Cut(line, " ")
+	name, rest, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	if verb == "wait" {
+		return s.accept(name, strings.TrimPrefix(rest, "as "))
+	}
+	p, err := s.peer(name)
+	if err != nil {
+		return err
+	}
+	switch verb {
+	case "send":
+		for _, m := range messages(rest) {
+			b, err := encode(m)
+			if err == nil {
+				_, err = p.Write(b)
+			}
+			if err != nil {
+				return fmt.Errorf("%s: %w", m, err)
+			}
+		}
+		return nil
+	case "expect":
+		return expect(p, messages(rest))
+	case "close":
+		return p.Close()
+	}
+	return fmt.Errorf("no such step: %s", verb)
+}
+
+func (s *Stage) accept(name, as string) error {
+	ln, ok := s.servers[name].(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("no server %s", name)
+	}
+	if as == "" {
+		as = name
+	}
+	ln.SetDeadline(time.Now().Add(hang))
+	conn, err := ln.Accept()
+	if err == nil {
+		s.add(as, conn)
+	}
+	return err
+}
+
+func (s *Stage) peer(name string) (*peer, error) {
+	if p := s.conns[name]; p != nil {
+		return p, nil
+	}
+	if s.clients == "" || !strings.HasPrefix(name, s.clients) {
+		return nil, fmt.Errorf("nobody has connected to %s", name)
+	}
+	conn, err := net.Dial("tcp", s.dial)
+	if err != nil {
+		return nil, err
+	}
+	return s.add(name, conn), nil
+}
+
+func (s *Stage) add(name string, conn net.Conn) *peer {
+	if old := s.conns[name]; old != nil {
+		old.Close()
+	}
+	conn.SetDeadline(time.Now().Add(hang))
+	s.conns[name] = &peer{conn, bufio.NewReaderSize(conn, 1<<16)}
+	return s.conns[name]
+}
+
+var separator = regexp.MustCompile(`\s+\|\s+`)
+
+func messages(text string) []string { return separator.Split(strings.TrimSpace(text), -1) }
+
+// encode is the bytes of one message.
+func encode(m string) ([]byte, error) {
+	kind, rest, _ := strings.Cut(m, " ")
+	text := rest
+	if strings.HasPrefix(rest, `"`) {
+		var err error
+		if text, err = strconv.Unquote(rest); err != nil {
+			return nil, err
+		}
+	}
+	switch kind {
+	case "raw":
+		return []byte(text), nil
+	case "startup":
+		return pgwire.AppendStartup(nil, "worker", "catalog"), nil
+	case "ssl":
+		return []byte{0, 0, 0, 8, 4, 210, 22, 47}, nil
+	case "welcome":
+		return pgwire.AppendWelcome(nil), nil
+	case "Q":
+		return pgwire.AppendQuery(nil, text), nil
+	case "T":
+		return pgwire.Append(nil, 'T', append([]byte("\x00\x01body\x00"), make([]byte, 18)...)), nil
+	case "D":
+		body := binary.BigEndian.AppendUint32([]byte{0, 1}, uint32(len(text)))
+		return pgwire.Append(nil, 'D', append(body, text...)), nil
+	case "C":
+		return pgwire.Append(nil, 'C', []byte("SELECT 1\x00")), nil
+	case "S":
+		name, value, _ := strings.Cut(text, "=")
+		return pgwire.Append(nil, 'S', []byte(name+"\x00"+value+"\x00")), nil
+	case "E":
+		return pgwire.AppendError(nil, "ERROR", text, "scripted", ""), nil
+	case "FATAL":
+		return pgwire.AppendError(nil, "FATAL", text, "scripted", ""), nil
+	case "Z":
+		return pgwire.AppendReady(nil), nil
+	}
+	if len(kind) == 1 {
+		return pgwire.Append(nil, kind[0], []byte(text)), nil
+	}
+	return nil, fmt.Errorf("no such message: %s", kind)
+}
+
+// expect reads as many messages as are wanted and compares them all at once.
+func expect(p *peer, want []string) error {
+	var got []string
+	for _, w := range want {
+		g, err := decode(p, w)
+		if err != nil {
+			g = err.Error()
+		}
+		if digits := regexp.QuoteMeta(w); strings.Contains(w, "#") {
+			digits = strings.ReplaceAll(digits, "#", `[0-9]+`)
+			if regexp.MustCompile("^(?s:" + digits + ")$").MatchString(g) {
+				g = w
+			}
+		}
+		got = append(got, g)
+		if err != nil {
+			break
+		}
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		return errors.New("(-want +got)\n" + diff)
+	}
+	return nil
+}
+
+// decode reads one message as text; what is wanted says in which shape.
+func decode(p *peer, want string) (string, error) {
+	kind, rest, _ := strings.Cut(want, " ")
+	switch kind {
+	case "raw":
+		text, err := strconv.Unquote(rest)
+		if err != nil {
+			return "", err
+		}
+		b := make([]byte, len(text))
+		_, err = io.ReadFull(p.read, b)
+		return "raw " + strconv.Quote(string(b)), ended(err)
+	case "line":
+		l, err := p.read.ReadString('\n')
+		return "line " + strconv.Quote(strings.TrimRight(l, "\r\n")), ended(err)
+	case "startup":
+		var n [4]byte
+		if _, err := io.ReadFull(p.read, n[:]); err != nil {
+			return "", ended(err)
+		}
+		_, err := p.read.Discard(int(binary.BigEndian.Uint32(n[:])) - 4)
+		return "startup", ended(err)
+	case "welcome":
+		for {
+			m, err := message(p)
+			if err != nil || m == "Z" {
+				return "welcome", err
+			}
+		}
+	case "EOF":
+		m, err := message(p)
+		if err != nil && err.Error() == "EOF" {
+			return "EOF", nil
+		}
+		return m, err
+	}
+	return message(p)
+}
+
+func message(p *peer) (string, error) {
+	var h [5]byte
+	if _, err := io.ReadFull(p.read, h[:]); err != nil {
+		return "", ended(err)
+	}
+	body := make([]byte, binary.BigEndian.Uint32(h[1:])-4)
+	if _, err := io.ReadFull(p.read, body); err != nil {
+		return "", ended(err)
+	}
+	kind := string(h[0])
+	switch h[0] {
+	case 'Q':
+		text, err := pgwire.QueryText(body)
+		return kind + " " + strconv.Quote(text), err
+	case 'D':
+		v, err := pgwire.Column(body)
+		return kind + " " + strconv.Quote(string(v)), err
+	case 'E':
+		code, err := pgwire.ErrorCode(body)
+		fields := string(body)
+		if strings.HasPrefix(fields, "SFATAL") {
+			kind = "FATAL"
+		}
+		if _, d, ok := strings.Cut(fields, "\x00D"); ok {
+			code += " " + strings.TrimRight(d, "\x00")
+		}
+		return kind + " " + code, err
+	case 'S':
+		name, value, err := pgwire.Parameter(body)
+		return kind + " " + name + "=" + value, err
+	}
+	return kind, nil
+}
+
+// ended makes one of all the ways in which a connection can end.
+func ended(err error) error {
+	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	return io.EOF
+}
--- /dev/null
+++ b/internal/scenario/settings.go
@@ -0,0 +1,53 @@
+package scenario
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Settings is a settings object for one router: a bounded read, a session read
+// and a keyed write, with probes, replicas that check and positions in answers.
+const Settings = `{"balancers":1,"granularity":5000000,"discovery":"automatic","workload":"replicas","me":0,
+"classes":[
+ {"deadline":20000000000,"effect":"free","gain":3,"keyScope":"all","lateWorth":0,"name":"read","objective":5000000000,"window":5000000000},
+ {"deadline":20000000000,"effect":"free","gain":1,"keyScope":"all","lateWorth":0,"name":"own","objective":5000000000,"window":5000000000},
+ {"deadline":20000000000,"effect":"guarded","gain":6,"keyScope":"cell","lateWorth":0.7,"name":"write","objective":5000000000,"window":5000000000}],
+"customers":[],
+"domain":{"answersStamped":true,"behind":"bounce","classRead":["lag_bound","causal","mutate"],"holdsFor":0,
+ "lagAllowed":[300000000,0,0],"sessionMarks":"brought","showsRole":"none","waitsForCopy":true,"zero":0},
+"limits":{"cancel":true,"connectTimeout":5000000000,"idleClose":30000000000,"maxAttempts":8,"maxRetryAfter":1000000000,
+ "mostHeld":100,"peerMessages":false,"probing":true,"retryAfter":true,"secondCopies":false,"streamsPerConn":1},
+"penalties":{"lateFail":0.042},"report":{"fields":["x0","x1","active"],"how":"probe"},
+"rules":{"answerSlack":20000000,"coldShare":0.17,"drainGrace":1000000000,"fallMultiple":3,"overloadFor":1500000000,"rampTime":18000000000},
+"weights":"rough","zone":"a","zones":["a"]}`
+
+// List is a whole list in discovery's form: each server is "host address block health".
+func List(seq int, servers ...string) string {
+	var hosts []string
+	for _, s := range servers {
+		f := strings.Fields(s)
+		hosts = append(hosts, fmt.Sprintf(
+			`{"host":%q,"dial":%q,"site":"a","class":"m","block":%s,"health":%q,"share":1.0,"born_ms":0}`, f[0], f[1], f[2], f[3]))
+	}
+	return fmt.Sprintf(`{"seq":%d,"whole":true,"hosts":[%s]}`, seq, strings.Join(hosts, ","))
+}
+
+// Config is a router's configuration that starts from a list.
+func Config(listen, discovery, known string) string {
+	return fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",`+
+		`"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":%s,"settings":%s}`,
+		listen, discovery, known, Settings)
+}
+
+// Expand replaces {name} by the address of a server.
+func Expand(s *Stage, text string) string {
+	for name := range s.servers {
+		text = strings.ReplaceAll(text, "{"+name+"}", s.Addr(name))
+	}
+	return text
+}
+
+// HTTP is the step that sends a 200 with this body.
+func HTTP(name, body string) string {
+	return fmt.Sprintf("send %s raw %q", name, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
+}
