Test discovery, config, pool, budget and the built program over sockets

Seen while writing them: a closed pool still handed out closed idle connections, so an attempt ended as refused, which the module takes for a dead process (pool.take). A wrong flag to a sub-command printed the help besides its one line. Both are mended and have their test.

The time in which a stopping router takes new clients is the test's to end, so that no verdict depends on the machine's speed.

--- a/cmd/lotushook/main.go
+++ b/cmd/lotushook/main.go
@@ -29,13 +29,15 @@
 }
 
 func command() *cli.Command {
+	// A wrong flag is one line, without the help.
+	usage := func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err }
 	return &cli.Command{
 		Name:  "lotushook",
 		Usage: "route reads and writes across replicated database groups",
 		Commands: []*cli.Command{
-			{Name: "serve", Usage: "run the router that the NODE_* variables describe", Action: serve},
-			{Name: "check", Usage: "check a configuration file", ArgsUsage: "FILE", Action: check},
-			{Name: "version", Usage: "print the version", Action: func(_ context.Context, c *cli.Command) error {
+			{Name: "serve", Usage: "run the router that the NODE_* variables describe", Action: serve, OnUsageError: usage},
+			{Name: "check", Usage: "check a configuration file", ArgsUsage: "FILE", Action: check, OnUsageError: usage},
+			{Name: "version", Usage: "print the version", OnUsageError: usage, Action: func(_ context.Context, c *cli.Command) error {
 				if err := noArgs(c); err != nil {
 					return err
 				}
@@ -49,7 +51,7 @@
 			}
 			return fmt.Errorf("no command; see lotushook help")
 		},
-		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error { return err },
+		OnUsageError: usage,
 	}
 }
 
--- /dev/null
+++ b/cmd/lotushook/main_test.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+
+	"lotushook/internal/scenario"
+)
+
+// program is the built command, which these tests start as the platform does.
+var program string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "lotushook")
+	if err == nil {
+		program = filepath.Join(dir, "lotushook")
+		var out []byte
+		if out, err = exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+			err = fmt.Errorf("%w: %s", err, out)
+		}
+	}
+	code := 1
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	} else {
+		code = m.Run()
+	}
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+const emptyList = `{"seq":1,"whole":true,"hosts":[]}`
+
+func TestCommandLine(t *testing.T) {
+	good := write(t, scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList))
+	bad := write(t, strings.Replace(scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList), "mutate", "mutant", 1))
+	for _, c := range []struct {
+		args, config string
+		code         int
+		says         string // on standard output, or as the one line on standard error
+	}{
+		{"version", "", 0, "lotushook " + version},
+		{"check " + good, "", 0, "valid: router n0"},
+		{"check " + bad, "", 1, "mutant"},
+		{"check", "", 1, "one file"},
+		{"check /nowhere/at/all", "", 1, "no such file"},
+		{"serve", bad, 1, "mutant"},
+		{"serve", "", 1, "NODE_CONFIG"},
+		{"serve now", good, 1, "no argument"},
+		{"serve --fast", good, 1, "fast"},
+		{"dance", "", 1, "dance"},
+		{"", "", 1, "no command"},
+		{"version 2", "", 1, "no argument"},
+	} {
+		cmd := exec.Command(program, strings.Fields(c.args)...)
+		cmd.Env = append(os.Environ(), "NODE_CONFIG="+c.config)
+		var out, errs bytes.Buffer
+		cmd.Stdout, cmd.Stderr = &out, &errs
+		err := cmd.Run()
+		said := out.String()
+		if c.code != 0 {
+			said = errs.String()
+		}
+		if code := cmd.ProcessState.ExitCode(); code != c.code || !strings.Contains(said, c.says) || strings.Count(said, "\n") != 1 {
+			t.Errorf("lotushook %s: %v, code %d, out %q, err %q", c.args, err, code, out.String(), errs.String())
+		}
+	}
+}
+
+// start runs the program against the stage's agent and s1; clients are named c.
+func start(t *testing.T) (*scenario.Stage, *exec.Cmd) {
+	t.Helper()
+	s := scenario.New(t, "s1", "agent")
+	known := scenario.List(1, "h-1 "+s.Addr("s1")+" 1 SERVING")
+	cmd := exec.Command(program, "serve")
+	cmd.Env = append(os.Environ(), "NODE_NAME=n3", "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+s.Addr("agent"),
+		"NODE_CONFIG="+write(t, scenario.Config("127.0.0.9:1", "127.0.0.9:2", known)))
+	log, err := cmd.StderrPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cmd.Process.Kill()
+		cmd.Wait()
+	})
+	lines := bufio.NewScanner(log)
+	serving := regexp.MustCompile(`msg=serving name=n3 listen=(\S+)`)
+	for lines.Scan() {
+		if m := serving.FindStringSubmatch(lines.Text()); m != nil {
+			s.Dial("c", m[1])
+			go func() { // or the program would block on a full pipe
+				for lines.Scan() {
+				}
+			}()
+			return s, cmd
+		}
+	}
+	t.Fatal("the program does not serve")
+	return nil, nil
+}
+
+// The program serves from the list it was started with while discovery is
+// silent, then follows discovery, and on SIGTERM finishes what it has taken.
+func TestServe(t *testing.T) {
+	s, cmd := start(t)
+	s.Play(`
+		send c1 startup | Q ""
+		expect c1 welcome | I | Z
+		send c1 Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ INSERT"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ INSERT"
+		send s1 T | D "\x00\xff" | C | S rank=source | Z
+		expect c1 T | D "\x00\xff" | C | Z
+		wait agent
+		expect agent line "GET /v1/endpoints HTTP/1.1"`)
+	s.Play(scenario.HTTP("agent", scenario.List(2, "h-1 "+s.Addr("s1")+" 1 DRAINING")))
+	s.Play(`
+		expect s1 EOF
+		send c2 startup
+		expect c2 welcome`)
+	s.Play(scenario.HTTP("agent", scenario.List(3, "h-1 "+s.Addr("s1")+" 1 SERVING")))
+	s.Play(`
+		send c1 Q "/* id=02,c=write,d=20000,k=ac,cluster=1 */ INSERT"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=02,c=write,d=#,k=ac,cluster=1 */ INSERT"`)
+	if err := cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	s.Play(`
+		expect c2 EOF
+		send s1 T | D "late" | C | S rank=source | Z
+		expect c1 T | D "late" | C | Z | EOF`)
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("after SIGTERM: %v", err)
+	}
+}
+
+// Two routers can't listen on one address: the second says so and ends.
+func TestAddressTaken(t *testing.T) {
+	s := scenario.New(t, "taken")
+	cmd := exec.Command(program, "serve")
+	cmd.Env = append(os.Environ(), "NODE_LISTEN="+s.Addr("taken"),
+		"NODE_CONFIG="+write(t, scenario.Config("127.0.0.9:1", "127.0.0.1:1", emptyList)))
+	out, err := cmd.CombinedOutput()
+	if err == nil || !strings.Contains(string(out), "address already in use") {
+		t.Errorf("%v: %s", err, out)
+	}
+}
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -102,7 +102,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[node]
-	for i := len(list) - 1; i >= 0; i-- {
+	for i := len(list) - 1; i >= 0 && !p.closed; i-- {
 		if c := list[i]; c.dial == dial {
 			p.unlist(c)
 			return c
--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,62 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"lotushook/internal/scenario"
+)
+
+const known = `{"seq":41,"whole":true,"hosts":[]}`
+
+func write(t *testing.T, text string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+func TestLoad(t *testing.T) {
+	file := write(t, scenario.Config("127.0.0.1:5433", "127.0.0.1:8500", known))
+	env := map[string]string{"NODE_CONFIG": file, "NODE_NAME": "n7", "NODE_LISTEN": "127.0.0.2:1"}
+	c, err := Load(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if c.Name != "n7" || c.Listen != "127.0.0.2:1" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+		c.Known.Seq != 41 || c.Limits != (Limits{1, 192, 1024}) || c.Settings.Class("own") != 1 || c.Settings.Class("x") != -1 {
+		t.Errorf("%+v", c)
+	}
+	if _, err := Load(func(string) string { return "" }); err == nil {
+		t.Error("no error without NODE_CONFIG")
+	}
+}
+
+// A bad configuration is one clear line that names the field.
+func TestMalformed(t *testing.T) {
+	good := scenario.Config("127.0.0.1:5433", "127.0.0.1:8500", known)
+	for _, c := range []struct{ from, to, names string }{
+		{good, "", "JSON"}, {good, good[:100], "JSON"}, {good, "[]", "JSON"}, {good, "null", "name"},
+		{`"name":"n0"`, `"name":""`, "name"},
+		{`"127.0.0.1:5433"`, `"localhost"`, "listen"},
+		{`"127.0.0.1:8500"`, `":8500"`, "discovery"},
+		{`"8c1f30d27a5be964"`, `"xyz"`, "seed"},
+		{`"cores":1.0`, `"cores":0`, "cores"},
+		{`"memory_mb":192`, `"memory_mb":1`, "memory_mb"},
+		{`"sockets":1024`, `"sockets":3`, "sockets"},
+		{`"whole":true`, `"whole":1`, "known"},
+		{`"balancers":1`, `"balancers":0`, "Instances"},
+		{`"mutate"`, `"mutant"`, "mutant"},
+		{`"connectTimeout":5000000000`, `"connectTimeout":0`, "connectTimeout"},
+		{scenario.Settings, "null", "settings"},
+	} {
+		_, err := Check(write(t, strings.Replace(good, c.from, c.to, 1)))
+		if err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%.40s -> %.40s: %v", c.from, c.to, err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,178 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"lotushook/balance"
+	"lotushook/internal/scenario"
+)
+
+const one = `{"host":"s-1","dial":"127.0.0.1:1","site":"a","class":"m","block":3,"health":"SERVING","share":1.5,"born_ms":7}`
+
+// A list that is malformed anywhere is refused whole, so that the old one stays.
+func TestParse(t *testing.T) {
+	for _, c := range []struct {
+		text  string
+		hosts int
+	}{
+		{`{"seq":41,"whole":true,"hosts":[` + one + `],"new":1}`, 1},
+		{`{"seq":41,"whole":false,"hosts":[]}`, 0},
+		{`{"seq":41,"whole":false,"hosts":[{"host":"s-1","health":"DELETED"}]}`, 1},
+		{``, -1}, {`null`, -1}, {`[]`, -1}, {`{"seq":41,"whole":true}`, -1}, {`{"whole":true,"hosts":[]}`, -1},
+		{`{"seq":"41","whole":true,"hosts":[]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + one + `,` + one + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "SERVING", "ODD", 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, ":1\"", "\"", 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":-7`, 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "s-1", "", 1) + `]}`, -1},
+	} {
+		l, err := Parse([]byte(c.text))
+		got := -1
+		if err == nil {
+			got = len(l.Hosts)
+		}
+		if got != c.hosts {
+			t.Errorf("%s: %d hosts, %v", c.text, got, err)
+		}
+	}
+}
+
+func TestDirectory(t *testing.T) {
+	d := NewDirectory()
+	apply := func(text string) balance.Event {
+		t.Helper()
+		l, err := Parse([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return d.Apply(l)
+	}
+	e := apply(`{"seq":1,"whole":true,"hosts":[` + one + `]}`)
+	id := e.Nodes[0].Node
+	want := balance.Event{Kind: balance.NodesFull, Nodes: []balance.NodeEntry{
+		{Node: id, Group: 3, Zone: "a", Weight: 1.5, Started: 7e6}}}
+	if diff := cmp.Diff(want, e); diff != "" {
+		t.Errorf("(-want +got)\n%s", diff)
+	}
+	if diff := cmp.Diff(e, NewDirectory().Apply(&List{Whole: true, Hosts: []Host{{Host: "s-1", Site: "a", Block: 3,
+		Health: "SERVING", Share: 1.5, BornMS: 7}}})); diff != "" {
+		t.Errorf("a host's number differs between routers:\n%s", diff)
+	}
+	check := func(dial string, ready bool) {
+		t.Helper()
+		if gotDial, gotReady := d.Address(id); gotDial != dial || gotReady != ready {
+			t.Errorf("%s %v, want %s %v", gotDial, gotReady, dial, ready)
+		}
+	}
+	check("127.0.0.1:1", true)
+	apply(`{"seq":2,"whole":false,"hosts":[` + strings.Replace(one, "SERVING", "DRAINING", 1) + `]}`)
+	check("127.0.0.1:1", false)
+	apply(`{"seq":3,"whole":false,"hosts":[` + strings.Replace(one, "0.1:1", "0.1:2", 1) + `]}`)
+	check("127.0.0.1:2", true)
+	apply(`{"seq":4,"whole":false,"hosts":[]}`)
+	check("127.0.0.1:2", true)
+	apply(`{"seq":5,"whole":true,"hosts":[]}`) // absent from the whole list: gone
+	check("127.0.0.1:2", false)
+	if _, ready := d.Address(id + 1); ready {
+		t.Error("an unlisted node is ready")
+	}
+}
+
+func TestResponses(t *testing.T) {
+	for _, c := range []struct{ in, want string }{
+		{"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcrest", "200 abc true"},
+		{"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: x\r\n\r\n", "200 abc true"},
+		{"HTTP/1.1 503 Busy\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", "503  false"},
+		{"HTTP/1.0 200 OK\r\n\r\nabc", "200 abc false"},
+		{"HTTP/1.1 204 None\r\n\r\n", "204  true"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", "error"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", "error"},
+		{"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\nno header\r\n\r\n", "error"},
+		{"HTTP/1.1 200 OK\r\n", "error"},
+		{"SSH-2.0\r\n\r\n", "error"}, {"HTTP/1.1 20 OK\r\n\r\n", "error"}, {"", "error"},
+		{"HTTP/1.1 200 " + strings.Repeat("x", 5000) + "\r\n\r\n", "error"},
+	} {
+		status, body, keep, err := readResponse(bufio.NewReader(strings.NewReader(c.in)))
+		got := fmt.Sprintf("%d %s %v", status, body, keep)
+		if err != nil {
+			got = "error"
+		}
+		if got != c.want {
+			t.Errorf("%.60q: %s, %v; want %s", c.in, got, err, c.want)
+		}
+	}
+}
+
+func FuzzResponse(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffff\r\nab")
+	f.Fuzz(func(t *testing.T, in string) {
+		_, body, _, err := readResponse(bufio.NewReader(strings.NewReader(in)))
+		if err == nil && len(body) > len(in) {
+			t.Fatalf("%d bytes of body from %d", len(body), len(in))
+		}
+		if l, err := Parse(body); err == nil {
+			NewDirectory().Apply(l)
+		}
+	})
+}
+
+// The watcher asks for the whole list, goes on watching behind what it was told,
+// and after an error, a malformed list or a new connection asks for all again.
+func TestWatch(t *testing.T) {
+	s := scenario.New(t, "agent")
+	ctx, stop := context.WithCancel(context.Background())
+	told, done := make(chan int64, 10), make(chan struct{})
+	go func() {
+		defer close(done)
+		NewWatcher(s.Addr("agent")).Run(ctx, func(l *List) { told <- l.Seq })
+	}()
+	expect := func(seq int64) {
+		t.Helper()
+		if got := <-told; got != seq {
+			t.Errorf("told %d, want %d", got, seq)
+		}
+	}
+	const whole, rest = `expect agent line "GET /v1/endpoints HTTP/1.1"`, `
+		expect agent line "Host: {agent}"
+		expect agent line "Accept: application/json"
+		expect agent line ""`
+	watch := func(since int) string {
+		return fmt.Sprintf(`expect agent line "GET /v1/endpoints?since=%d&timeout_ms=# HTTP/1.1"`, since)
+	}
+	play := func(steps ...string) {
+		t.Helper()
+		s.Play(scenario.Expand(s, strings.Join(steps, "\n")))
+	}
+	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":41,"whole":true,"hosts":[]}`))
+	expect(41)
+	play(watch(41), rest, scenario.HTTP("agent", `{"seq":43,"whole":false,"hosts":[`+one+`]}`))
+	expect(43)
+	// Nothing new: nobody is told, and the watch goes on.
+	play(watch(43), rest, scenario.HTTP("agent", `{"seq":43,"whole":false,"hosts":[]}`), watch(43), rest,
+		`send agent raw "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"`)
+	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":44,"whole":true,"hosts":[`+one+`]}`))
+	expect(44)
+	play(watch(44), rest, scenario.HTTP("agent", `{"seq":45,"whole":true,"hosts":[{}]}`))
+	play("wait agent", whole, rest, "close agent")
+	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":46,"whole":false,"hosts":[]}`)) // not what was asked for
+	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":47,"whole":true,"hosts":[]}`))
+	expect(47)
+	stop()
+	<-done
+	if len(told) > 0 {
+		t.Errorf("told %d more", len(told))
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -32,11 +32,11 @@
 	owner  *owner
 	clock  clock
 
-	acceptFor time.Duration // after being told to stop
-	mu        sync.Mutex
-	clients   map[*client]struct{}
-	stopping  bool
-	serving   sync.WaitGroup
+	accepted func() <-chan time.Time // after being told to stop: when to take no new clients
+	mu       sync.Mutex
+	clients  map[*client]struct{}
+	stopping bool
+	serving  sync.WaitGroup
 }
 
 // New returns a router that starts from the list that its configuration keeps.
@@ -46,7 +46,8 @@
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	r := &Router{conf: conf, dir: discovery.NewDirectory(), budget: budget.New(conf.Limits.Sockets),
-		clock: newClock(), clients: map[*client]struct{}{}, acceptFor: acceptAfter}
+		clock: newClock(), clients: map[*client]struct{}{},
+		accepted: func() <-chan time.Time { return time.After(acceptAfter) }}
 	r.pool = backend.NewPool(backend.Options{Directory: r.dir, Budget: r.budget,
 		ConnectTimeout: conf.Settings.ConnectTimeout, IdleClose: conf.Settings.IdleClose})
 	r.owner = newOwner(module, r)
@@ -87,8 +88,8 @@
 		err = fmt.Errorf("router: accept: %w", err)
 		ln.Close()
 	case <-ctx.Done():
-		slog.Info("stopping", "accepting_for", r.acceptFor)
-		time.Sleep(r.acceptFor)
+		slog.Info("stopping")
+		<-r.accepted()
 		ln.Close()
 		<-failed
 	}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -5,7 +5,9 @@
 	"net"
 	"os"
 	"path/filepath"
+	"sync"
 	"testing"
+	"time"
 
 	"lotushook/internal/config"
 	"lotushook/internal/invariant"
@@ -15,6 +17,13 @@
 // stage is a running router with data servers s1 and s2 in group 1 and a silent
 // agent; clients are named c.
 func stage(t *testing.T, hosts ...string) (*scenario.Stage, context.CancelFunc, <-chan error) {
+	now := make(chan time.Time)
+	close(now)
+	return stageUntil(t, now, hosts...)
+}
+
+// stageUntil is stage with a router that, told to stop, takes clients until accepted.
+func stageUntil(t *testing.T, accepted <-chan time.Time, hosts ...string) (*scenario.Stage, context.CancelFunc, <-chan error) {
 	t.Helper()
 	s := scenario.New(t, "s1", "s2", "agent")
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -40,7 +49,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r.acceptFor = 0
+	r.accepted = func() <-chan time.Time { return accepted }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Serve(ctx, ln); close(done) }()
@@ -236,9 +245,13 @@
 		expect c1 T | D "v" | C | Z`)
 }
 
-// Told to stop, a router finishes what it has and closes the idle clients.
+// Told to stop, a router still takes new clients for a while, finishes what it
+// has, and closes the idle clients.
 func TestStop(t *testing.T) {
-	s, stop, done := stage(t)
+	accepted := make(chan time.Time)
+	s, stop, done := stageUntil(t, accepted)
+	accept := sync.OnceFunc(func() { close(accepted) })
+	t.Cleanup(accept)
 	s.Play(`
 		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
 		send c2 startup
@@ -248,8 +261,15 @@
 		send s1 welcome
 		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
 	stop()
+	s.Play(`
+		send c3 startup | Q ""
+		expect c3 welcome | I | Z
+		send c2 Q ""
+		expect c2 I | Z`)
+	accept()
 	s.Play(`
 		expect c2 EOF
+		expect c3 EOF
 		send s1 T | D "v" | C | S rank=copy | Z
 		expect c1 welcome | T | D "v" | C | Z | EOF`)
 	if err := <-done; err != nil {
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -118,16 +118,16 @@
 	}
 	switch verb {
 	case "send":
+		var all []byte // one write, so that what comes first can't end the connection under the rest
 		for _, m := range messages(rest) {
 			b, err := encode(m)
-			if err == nil {
-				_, err = p.Write(b)
-			}
 			if err != nil {
 				return fmt.Errorf("%s: %w", m, err)
 			}
+			all = append(all, b...)
 		}
-		return nil
+		_, err := p.Write(all)
+		return err
 	case "expect":
 		return expect(p, messages(rest))
 	case "close":
