Bound the ring buffer's fuzz story to 300 steps

Seen: the fuzzer stood at 0 executions a second. Checked: every loop of the buffer moves on while there is room, which reserve sees to; the inputs had grown to many thousand steps of 8 KiB copies each. With the bound it goes on steadily.

--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -21,7 +21,7 @@
 		b := New(most)
 		var model []byte
 		next := byte(0)
-		for _, s := range steps {
+		for _, s := range steps[:min(len(steps), 300)] { // a longer story only takes longer
 			n := int(s>>2) * 64
 			switch s % 4 {
 			case 0:
