Bound the statements held by memory, and mend a race when discovery ends

Seen by reading: 16 pipelined statements of 130 KB from 1,000 clients would take 2 GB, over the limit of 192 MB, although mostHeld allows them. The owner now refuses, before the module hears of it, what would take held statements over a third of the memory. In watch.get the callback at the context's end read w.conn, which hangUp may just have set to nil; it now keeps the connection itself.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -93,16 +93,14 @@
 		w.conn, w.in = conn, ring.New(1<<16)
 		w.read = bufio.NewReader(filler{w.conn, w.in})
 	}
-	stop := context.AfterFunc(ctx, func() { w.conn.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
-	if err := w.conn.SetDeadline(time.Now().Add(wait)); err != nil {
+	conn := w.conn // the end of the context can come when w has hung up
+	if err := conn.SetDeadline(time.Now().Add(wait)); err != nil {
 		return nil, err
 	}
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
-	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
 	req := "GET " + target + " HTTP/1.1\r\nHost: " + w.agent + "\r\nAccept: application/json\r\n\r\n"
-	if _, err := w.conn.Write([]byte(req)); err != nil {
+	if _, err := conn.Write([]byte(req)); err != nil {
 		return nil, err
 	}
 	status, body, keep, err := readResponse(w.read)
--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -125,6 +125,9 @@
 	return s
 }
 
+// Size is the length of the statement with its comment.
+func (r *Request) Size() int { return len(r.text) }
+
 // WriteQuery writes the request as a simple query, unchanged but for d, which
 // tells how long the router will wait.
 func (r *Request) WriteQuery(w io.Writer, wait time.Duration) error {
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -13,6 +13,7 @@
 const (
 	queuedEvents = 4096
 	mostLines    = 500 // of the module's own log
+	heldShare    = 3   // one part in so many of the memory is for held statements: buffers and answers need the rest
 )
 
 // event is what the owner hears: an event for the module, with the request that
@@ -31,6 +32,8 @@
 	router   *Router
 	events   chan event
 	requests map[string]*request // from RequestIn to the end of the task
+	held     int                 // bytes of their statements
+	room     int                 // the most bytes that may be held
 	timers   timers
 	batch    []balance.Event
 	ended    []*request // tasks that ended in this batch
@@ -39,7 +42,8 @@
 }
 
 func newOwner(module *balance.Balancer, r *Router) *owner {
-	return &owner{module: module, router: r, events: make(chan event, queuedEvents), requests: map[string]*request{}}
+	return &owner{module: module, router: r, events: make(chan event, queuedEvents), requests: map[string]*request{},
+		room: int(r.conf.Limits.MemoryMB << 20 / heldShare)}
 }
 
 func (o *owner) run(ctx context.Context) {
@@ -81,12 +85,13 @@
 			e.req.hand(balance.Action{Kind: balance.Fail}) // the module ignores a live id
 			return
 		}
-		if len(o.requests) >= o.router.conf.Settings.Balance.MaxHeld {
+		if len(o.requests) >= o.router.conf.Settings.Balance.MaxHeld || o.held+e.req.Size() > o.room {
 			e.req.hand(balance.Action{Kind: balance.Refuse})
 			return
 		}
 		o.count++
 		o.requests[e.Request] = e.req
+		o.held += e.req.Size()
 		if e.after > 0 {
 			e.TokenAge = max(1, o.router.clock.now()-e.after)
 		}
@@ -117,6 +122,7 @@
 func (o *owner) forget() {
 	for _, r := range o.ended {
 		delete(o.requests, r.id)
+		o.held -= r.Size()
 		if r.told < r.sent {
 			o.batch = append(o.batch, balance.Event{Kind: balance.AttemptDone, Request: r.id, Attempt: r.told,
 				Node: r.node, Outcome: balance.Skipped})
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -14,6 +14,26 @@
 	"lotushook/internal/scenario"
 )
 
+// newRouter is a router that starts from a list; where it listens and its agent
+// are only told where it is to run.
+func newRouter(t *testing.T, known string, addresses ...string) *Router {
+	t.Helper()
+	addresses = append(addresses, "127.0.0.1:1", "127.0.0.1:1")
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(scenario.Config(addresses[0], addresses[1], known)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	conf, err := config.Check(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(conf)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
 // stage is a running router with data servers s1 and s2 in group 1 and a silent
 // agent; clients are named c.
 func stage(t *testing.T, hosts ...string) (*scenario.Stage, context.CancelFunc, <-chan error) {
@@ -36,19 +56,7 @@
 	for i, h := range hosts {
 		hosts[i] = scenario.Expand(s, h)
 	}
-	file := filepath.Join(t.TempDir(), "config.json")
-	text := scenario.Config(ln.Addr().String(), s.Addr("agent"), scenario.List(1, hosts...))
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	conf, err := config.Check(file)
-	if err != nil {
-		t.Fatal(err)
-	}
-	r, err := New(conf)
-	if err != nil {
-		t.Fatal(err)
-	}
+	r := newRouter(t, scenario.List(1, hosts...), ln.Addr().String(), s.Addr("agent"))
 	r.accepted = func() <-chan time.Time { return accepted }
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
