--- a/cmd/lotushook/main_test.go
+++ b/cmd/lotushook/main_test.go
@@ -37,20 +37,11 @@
 	os.Exit(code)
 }
 
-func write(t *testing.T, text string) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return file
-}
-
 const emptyList = `{"seq":1,"whole":true,"hosts":[]}`
 
 func TestCommandLine(t *testing.T) {
-	good := write(t, scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList))
-	bad := write(t, strings.Replace(scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList), "mutate", "mutant", 1))
+	good := scenario.File(t, scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList))
+	bad := scenario.File(t, strings.Replace(scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList), "mutate", "mutant", 1))
 	for _, c := range []struct {
 		args, config string
 		code         int
@@ -91,7 +82,7 @@
 	known := scenario.List(1, "h-1 "+s.Addr("s1")+" 1 SERVING")
 	cmd := exec.Command(program, "serve")
 	cmd.Env = append(os.Environ(), "NODE_NAME=n3", "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+s.Addr("agent"),
-		"NODE_CONFIG="+write(t, scenario.Config("127.0.0.9:1", "127.0.0.9:2", known)))
+		"NODE_CONFIG="+scenario.File(t, scenario.Config("127.0.0.9:1", "127.0.0.9:2", known)))
 	log, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
@@ -164,7 +155,7 @@
 	s := scenario.New(t, "taken")
 	cmd := exec.Command(program, "serve")
 	cmd.Env = append(os.Environ(), "NODE_LISTEN="+s.Addr("taken"),
-		"NODE_CONFIG="+write(t, scenario.Config("127.0.0.9:1", "127.0.0.1:1", emptyList)))
+		"NODE_CONFIG="+scenario.File(t, scenario.Config("127.0.0.9:1", "127.0.0.1:1", emptyList)))
 	out, err := cmd.CombinedOutput()
 	if err == nil || !strings.Contains(string(out), "address already in use") {
 		t.Errorf("%v: %s", err, out)
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -1,8 +1,6 @@
 package config
 
 import (
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 
@@ -11,17 +9,8 @@
 
 const known = `{"seq":41,"whole":true,"hosts":[]}`
 
-func write(t *testing.T, text string) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	return file
-}
-
 func TestLoad(t *testing.T) {
-	file := write(t, scenario.Config("127.0.0.1:5433", "127.0.0.1:8500", known))
+	file := scenario.File(t, scenario.Config("127.0.0.1:5433", "127.0.0.1:8500", known))
 	env := map[string]string{"NODE_CONFIG": file, "NODE_NAME": "n7", "NODE_LISTEN": "127.0.0.2:1"}
 	c, err := Load(func(name string) string { return env[name] })
 	if err != nil {
@@ -54,7 +43,7 @@
 		{`"connectTimeout":5000000000`, `"connectTimeout":0`, "connectTimeout"},
 		{scenario.Settings, "null", "settings"},
 	} {
-		_, err := Check(write(t, strings.Replace(good, c.from, c.to, 1)))
+		_, err := Check(scenario.File(t, strings.Replace(good, c.from, c.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%.40s -> %.40s: %v", c.from, c.to, err)
 		}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -104,7 +104,12 @@
 }
 
 // Write appends p whole, or nothing and ErrFull.
-func (b *Buffer) Write(p []byte) (int, error) {
+func (b *Buffer) Write(p []byte) (int, error) { return add(b, p) }
+
+// WriteString is Write of a string.
+func (b *Buffer) WriteString(s string) (int, error) { return add(b, s) }
+
+func add[T []byte | string](b *Buffer, p T) (int, error) {
 	if err := b.reserve(len(p)); err != nil {
 		return 0, err
 	}
@@ -139,19 +144,6 @@
 	return n
 }
 
-// WriteString is Write of a string.
-func (b *Buffer) WriteString(s string) (int, error) {
-	if err := b.reserve(len(s)); err != nil {
-		return 0, err
-	}
-	for rest := s; len(rest) > 0; {
-		n := copy(b.room(), rest)
-		b.len += n
-		rest = rest[n:]
-	}
-	return len(s), nil
-}
-
 // Read takes bytes out; it returns io.EOF when none are held.
 func (b *Buffer) Read(p []byte) (int, error) {
 	if b.len == 0 && len(p) > 0 {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"os"
-	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -19,11 +17,7 @@
 func newRouter(t *testing.T, known string, addresses ...string) *Router {
 	t.Helper()
 	addresses = append(addresses, "127.0.0.1:1", "127.0.0.1:1")
-	file := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(file, []byte(scenario.Config(addresses[0], addresses[1], known)), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	conf, err := config.Check(file)
+	conf, err := config.Check(scenario.File(t, scenario.Config(addresses[0], addresses[1], known)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/scenario/settings.go
+++ b/internal/scenario/settings.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
 	"strings"
+	"testing"
 )
 
 // Settings is a settings object for one router: a bounded read, a session read
@@ -39,6 +42,16 @@
 		listen, discovery, known, Settings)
 }
 
+// File writes a configuration to a file of the test's own and returns its path.
+func File(t testing.TB, config string) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(file, []byte(config), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
 // Expand replaces {name} by the address of a server.
 func Expand(s *Stage, text string) string {
 	for name := range s.servers {
