--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -183,6 +184,21 @@
 		expect c1 welcome | E 54000 | Z | I | Z`)
 }
 
+// The largest value, 64 KiB, passes in both directions: written as hex in the
+// query, and as bytes in the answer.
+func TestLargestValue(t *testing.T) {
+	s, _, _ := stage(t)
+	s.Set("hex", strings.Repeat("9f", 64<<10), "value", strings.Repeat("v", 64<<10))
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ INSERT '{hex}'"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ INSERT '{hex}'"
+		send s1 T | D "{value}" | C | S rank=source | Z
+		expect c1 welcome | T | D "{value}" | C | Z`)
+}
+
 // A write that the first member turns away untouched goes to the next one.
 func TestMissMovesOn(t *testing.T) {
 	s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
