--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -197,7 +197,7 @@
 	go c.run(a)
 }
 
-// dialer is what connects; the descriptor is the budget's.
+// dial connects to an address; open has taken the descriptor for it.
 func (p *Pool) dial(ctx context.Context, addr string) (net.Conn, error) {
 	var d net.Dialer
 	conn, err := d.DialContext(ctx, "tcp", addr)
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -53,7 +53,7 @@
 
 const (
 	head       = 5 // a message's kind and length
-	versionTwo = 196608
+	versionThree = 196608
 	sslCode    = 80877103
 	gssCode    = 80877104
 	cancelCode = 80877102
@@ -146,7 +146,7 @@
 		return EncryptRequest, n, nil
 	case code == cancelCode:
 		return CancelRequest, n, nil
-	case code>>16 != versionTwo>>16:
+	case code>>16 != versionThree>>16:
 		return 0, 0, fmt.Errorf("%w: protocol version %d.%d", ErrMalformed, code>>16, code&0xffff)
 	}
 	if err := checkParams(b.Peek(n)[8:]); err != nil {
@@ -252,7 +252,7 @@
 
 // AppendStartup appends the first message of a client.
 func AppendStartup(out []byte, user, database string) []byte {
-	body := binary.BigEndian.AppendUint32(nil, versionTwo)
+	body := binary.BigEndian.AppendUint32(nil, versionThree)
 	for _, s := range []string{"user", user, "database", database, ""} {
 		body = append(append(body, s...), 0)
 	}
