--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -52,13 +52,13 @@
 )
 
 const (
-	head       = 5 // a message's kind and length
+	head         = 5 // a message's kind and length
 	versionThree = 196608
-	sslCode    = 80877103
-	gssCode    = 80877104
-	cancelCode = 80877102
-	longest    = 1 << 30
-	maxStartup = 10000 // as PostgreSQL itself allows
+	sslCode      = 80877103
+	gssCode      = 80877104
+	cancelCode   = 80877102
+	longest      = 1 << 30
+	maxStartup   = 10000 // as PostgreSQL itself allows
 )
 
 // ErrMalformed is wrapped by what breaks the framing.
