Let the module's word win when it comes as the request falls overdue

Seen by reading: in request.run a final action and the overdue timer can be ready together after a stall of the machine; select then draws, and an answer that was in time would be counted as the module's silence. The mailbox now goes first.

Also: fields of request that repeated others (id, came) and a wrapper of an error are gone.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"sync"
@@ -134,18 +135,9 @@
 		}
 		return c.query(tasks, m.Body)
 	}
-	return errUnknown(m.Kind)
+	return fmt.Errorf("%w: unknown message %q", pgwire.ErrMalformed, m.Kind)
 }
 
-func errUnknown(kind byte) error {
-	return &unknownMessage{kind}
-}
-
-type unknownMessage struct{ kind byte }
-
-func (e *unknownMessage) Error() string { return "unknown message " + string(rune(e.kind)) }
-func (e *unknownMessage) Unwrap() error { return pgwire.ErrMalformed }
-
 // pass reads over n bytes.
 func (c *client) pass(n int) error {
 	for {
@@ -172,9 +164,8 @@
 	if err != nil {
 		return c.local(tasks, problem(pgwire.CodeSyntax, err.Error()))
 	}
-	r := &request{Request: parsed, id: parsed.ID, router: c.router, client: c, came: came,
+	r := &request{Request: parsed, router: c.router, client: c, acts: make(chan balance.Action, mailbox),
 		deadline: came + int64(max(parsed.Wait-margin, parsed.Wait/2))}
-	r.acts = make(chan balance.Action, mailbox)
 	return c.task(tasks, r.run)
 }
 
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -72,7 +72,7 @@
 // take puts an event into the batch, unless it is not the module's business.
 func (o *owner) take(e event) {
 	if e.over {
-		if o.requests[e.req.id] == e.req {
+		if o.requests[e.req.ID] == e.req {
 			o.ended = append(o.ended, e.req)
 		}
 		return
@@ -121,10 +121,10 @@
 // attempt as pending for good.
 func (o *owner) forget() {
 	for _, r := range o.ended {
-		delete(o.requests, r.id)
+		delete(o.requests, r.ID)
 		o.held -= r.Size()
 		if r.told < r.sent {
-			o.batch = append(o.batch, balance.Event{Kind: balance.AttemptDone, Request: r.id, Attempt: r.told,
+			o.batch = append(o.batch, balance.Event{Kind: balance.AttemptDone, Request: r.ID, Attempt: r.told,
 				Node: r.node, Outcome: balance.Skipped})
 		}
 	}
--- a/internal/router/owner_test.go
+++ b/internal/router/owner_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	r := &request{Request: parsed, id: id, router: o.router, acts: make(chan balance.Action, mailbox)}
+	r := &request{Request: parsed, router: o.router, acts: make(chan balance.Action, mailbox)}
 	now := o.router.clock.now()
 	o.take(event{req: r, Event: balance.Event{Kind: balance.RequestIn, Request: id, Tenant: -1, Group: 1, Deadline: now + 20e9}})
 	return r
@@ -34,7 +34,7 @@
 func expectActs(t *testing.T, r *request, want ...balance.ActionKind) {
 	t.Helper()
 	if diff := cmp.Diff(want, kinds(r)); diff != "" {
-		t.Errorf("request %s: (-want +got)\n%s", r.id, diff)
+		t.Errorf("request %s: (-want +got)\n%s", r.ID, diff)
 	}
 }
 
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -20,10 +20,8 @@
 // request is one client's request; its task is run.
 type request struct {
 	pgwire.Request
-	id       string
 	router   *Router
 	client   *client
-	came     balance.Nanos
 	deadline balance.Nanos
 	acts     chan balance.Action
 
@@ -43,7 +41,7 @@
 
 // tell puts an event of this request to the module.
 func (r *request) tell(e balance.Event) {
-	e.Request = r.id
+	e.Request = r.ID
 	r.router.owner.events <- event{Event: e, req: r}
 }
 
@@ -54,7 +52,7 @@
 	defer func() { r.router.owner.events <- event{req: r, over: true} }()
 
 	// The module is told, and from now on says what to do.
-	in := event{req: r, Event: balance.Event{Kind: balance.RequestIn, Request: r.id, Class: set.Class(r.Class),
+	in := event{req: r, Event: balance.Event{Kind: balance.RequestIn, Request: r.ID, Class: set.Class(r.Class),
 		Tenant: -1, Session: r.Session, Deadline: r.deadline, Group: r.Cluster}}
 	if r.HasPos {
 		in.after = max(1, r.After*1e6)
@@ -73,9 +71,13 @@
 			r.tell(balance.Event{Kind: balance.RequestGone})
 			return nil
 		case <-overdue.C:
-			invariant.Check(false, "the module ends each request by its deadline")
-			r.tell(balance.Event{Kind: balance.RequestGone})
-			return failed("no answer in time")
+			select {
+			case act = <-r.acts: // both at once: the module was not silent
+			default:
+				invariant.Check(false, "the module ends each request by its deadline")
+				r.tell(balance.Event{Kind: balance.RequestGone})
+				return failed("no answer in time")
+			}
 		}
 		switch act.Kind {
 		case balance.Refuse:
