Tidy after a last reading: one config reader, one replacement, less per attempt

Seen in the whole change, behaviour kept: - config.Load and config.Check read the file each on their own; both call read. or was cmp.Or again, and a check behind ParseAddrPort could never fail. - scenario.Expand and Stage.Set were two ways to replace {name}; a server's address is now one of the names that Set holds. - TestMissMovesOn and TestBusyMovesOn were one scenario with another code. - Each attempt armed a deadline of its own beside its caller's; the caller, which always has one and aborts at it, is enough. - conn.answer kept flags that the row and the outcome already tell; NextStart checked the length twice; cstring was bytes.Cut; failed was problem; three codes were used nowhere.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -41,10 +41,11 @@
 }
 
 // Start begins an attempt on the most recently used idle connection, or on a
-// new one. It does not wait for a connection to come up.
+// new one. It does not wait for a connection to come up. The caller aborts the
+// attempt at until, if no result has come.
 func (p *Pool) Start(node uint32, until time.Time, word func(io.Writer) error) *Attempt {
 	a := &Attempt{node: node, until: until, word: word, done: make(chan Result, 1)}
-	a.ctx, a.cancel = context.WithDeadline(context.Background(), until)
+	a.ctx, a.cancel = context.WithCancel(context.Background())
 	dial, ready := p.Directory.Address(node)
 	if !ready {
 		a.finish(Result{Outcome: balance.Busy})
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -188,9 +188,8 @@
 // a known state.
 func (c *conn) answer() (a *Attempt, res Result, keep bool) {
 	var row []byte // the messages to pass on
-	var columns, rows int
+	rows := 0
 	var value []byte
-	complete := false
 	fail := func(err error) (*Attempt, Result, bool) {
 		a := c.current()
 		res.Err = err
@@ -216,28 +215,26 @@
 		case pgwire.NoticeResponse, pgwire.NotificationMessage:
 		case pgwire.RowDescription:
 			n, err := pgwire.Columns(m.Body)
-			if a == nil || err != nil || columns > 0 || n != 1 {
+			if a == nil || err != nil || row != nil || n != 1 {
 				return fail(fmt.Errorf("%w: row description of %d columns", pgwire.ErrMalformed, n))
 			}
-			columns = n
 			row = pgwire.Append(row, m.Kind, m.Body)
 		case pgwire.DataRow:
 			v, err := pgwire.Column(m.Body)
-			if a == nil || err != nil || columns == 0 || rows > 0 {
+			if a == nil || err != nil || row == nil || rows > 0 {
 				return fail(fmt.Errorf("%w: data row: %w", pgwire.ErrMalformed, err))
 			}
 			rows++
 			row = pgwire.Append(row, m.Kind, m.Body)
 			value = row[len(row)-len(v):]
 		case pgwire.CommandComplete:
-			if a == nil || rows != 1 || complete {
+			if a == nil || rows != 1 || res.Outcome == balance.Done {
 				return fail(fmt.Errorf("%w: end of a command with %d rows", pgwire.ErrMalformed, rows))
 			}
-			complete = true
 			res.Outcome, res.Answer, res.Value = balance.Done, pgwire.Append(row, m.Kind, m.Body), value
 		case pgwire.ErrorResponse:
 			code, err := pgwire.ErrorCode(m.Body)
-			if a == nil || err != nil || complete || res.Outcome != 0 {
+			if a == nil || err != nil || res.Outcome != 0 {
 				return fail(fmt.Errorf("%w: error %s out of place", pgwire.ErrMalformed, code))
 			}
 			res.Outcome, res.Code = outcomeOf(code), code
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -3,6 +3,7 @@
 package config
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"net/netip"
@@ -51,29 +52,25 @@
 	if path == "" {
 		return nil, errors.New("config: NODE_CONFIG is not set")
 	}
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return nil, fmt.Errorf("config: %w", err)
-	}
-	return parse(raw, getenv)
+	return read(path, getenv)
 }
 
 // Check reads a configuration file by itself.
 func Check(path string) (*Config, error) {
+	return read(path, func(string) string { return "" })
+}
+
+func read(path string, getenv func(string) string) (*Config, error) {
 	raw, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	return parse(raw, func(string) string { return "" })
-}
-
-func parse(raw []byte, getenv func(string) string) (*Config, error) {
 	var f file
 	if err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(raw, &f); err != nil {
 		return nil, fmt.Errorf("config: not valid JSON: %w", err)
 	}
-	c := &Config{Name: or(getenv("NODE_NAME"), f.Name), Listen: or(getenv("NODE_LISTEN"), f.Listen),
-		Discovery: or(getenv("NODE_DISCOVERY"), f.Discovery), Limits: f.Limits}
+	c := &Config{Name: cmp.Or(getenv("NODE_NAME"), f.Name), Listen: cmp.Or(getenv("NODE_LISTEN"), f.Listen),
+		Discovery: cmp.Or(getenv("NODE_DISCOVERY"), f.Discovery), Limits: f.Limits}
 	var errs []error
 	check := func(field string, err error) {
 		if err != nil {
@@ -86,7 +83,6 @@
 	check("listen", address(c.Listen))
 	check("discovery", address(c.Discovery))
 	check("limits", c.Limits.validate())
-	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
 		check("seed", fmt.Errorf("not 64 bits in hex: %q", f.Seed))
 	}
@@ -115,21 +111,10 @@
 	return out
 }
 
-func or(a, b string) string {
-	if a != "" {
-		return a
-	}
-	return b
-}
-
 func address(s string) error {
-	a, err := netip.ParseAddrPort(s)
-	if err != nil {
+	if _, err := netip.ParseAddrPort(s); err != nil {
 		return fmt.Errorf("not an address with a port: %q", s)
 	}
-	if !a.Addr().IsValid() {
-		return fmt.Errorf("no address: %q", s)
-	}
 	return nil
 }
 
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -154,7 +154,7 @@
 	}
 	play := func(steps ...string) {
 		t.Helper()
-		s.Play(scenario.Expand(s, strings.Join(steps, "\n")))
+		s.Play(strings.Join(steps, "\n"))
 	}
 	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":41,"whole":true,"hosts":[]}`))
 	expect(41)
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -4,6 +4,7 @@
 package pgwire
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -43,12 +44,9 @@
 	CodeReadOnly           = "25006" // a write, and this is no primary
 	CodeTooFarBehind       = "72000"
 	CodeSyntax             = "42601"
-	CodeDuplicate          = "42710"
 	CodeTooManyConnections = "53300"
 	CodeTooLarge           = "54000"
-	CodeCannotConnectNow   = "57P03"
 	CodeFailed             = "58000" // a router's failed: it promises nothing
-	CodeInternal           = "XX000"
 )
 
 const (
@@ -122,16 +120,11 @@
 
 // NextStart reads the untyped first message: its kind and size, with errors as Next.
 func NextStart(b *ring.Buffer) (StartKind, int, error) {
-	h := b.Peek(8)
-	if len(h) < 8 {
-		if len(h) >= 4 {
-			if n := int(int32(binary.BigEndian.Uint32(h))); n < 8 || n > maxStartup {
-				return 0, 0, fmt.Errorf("%w: startup of length %d", ErrMalformed, n)
-			}
-		}
+	h := b.Peek(4)
+	if len(h) < 4 {
 		return 0, 0, ErrShort
 	}
-	n, code := int(int32(binary.BigEndian.Uint32(h))), binary.BigEndian.Uint32(h[4:])
+	n := int(int32(binary.BigEndian.Uint32(h)))
 	if n < 8 || n > maxStartup {
 		return 0, 0, fmt.Errorf("%w: startup of length %d", ErrMalformed, n)
 	}
@@ -141,6 +134,7 @@
 		}
 		return 0, 0, ErrShort
 	}
+	code := binary.BigEndian.Uint32(b.Peek(8)[4:])
 	switch {
 	case code == sslCode || code == gssCode:
 		return EncryptRequest, n, nil
@@ -172,12 +166,8 @@
 }
 
 func cstring(p []byte) (string, []byte, bool) {
-	for i, c := range p {
-		if c == 0 {
-			return string(p[:i]), p[i+1:], true
-		}
-	}
-	return "", nil, false
+	s, rest, ok := bytes.Cut(p, []byte{0})
+	return string(s), rest, ok
 }
 
 // QueryText is the statement in the body of a Query.
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -143,6 +143,5 @@
 	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeTooManyConnections, "refused: nothing ran", detail))
 }
 
-func failed(why string) []byte {
-	return pgwire.AppendReady(pgwire.AppendError(nil, "ERROR", pgwire.CodeFailed, why, ""))
-}
+// failed is the answer that promises nothing.
+func failed(why string) []byte { return problem(pgwire.CodeFailed, why) }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,13 +67,12 @@
 func (r *Router) Serve(ctx context.Context, ln net.Listener) error {
 	inner, stop := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
-	part := func(f func()) { parts.Go(f) }
 	if r.conf.Known != nil {
 		r.owner.events <- event{Event: r.dir.Apply(r.conf.Known)}
 	}
-	part(func() { r.owner.run(inner) })
-	part(func() { r.pool.Run(inner) })
-	part(func() {
+	parts.Go(func() { r.owner.run(inner) })
+	parts.Go(func() { r.pool.Run(inner) })
+	parts.Go(func() {
 		discovery.NewWatcher(r.conf.Discovery).Run(inner, func(l *discovery.List) {
 			r.owner.events <- event{Event: r.dir.Apply(l)}
 		})
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -49,7 +49,7 @@
 		hosts = []string{"h-1 " + s.Addr("s1") + " 1 SERVING"}
 	}
 	for i, h := range hosts {
-		hosts[i] = scenario.Expand(s, h)
+		hosts[i] = s.Expand(h)
 	}
 	r := newRouter(t, scenario.List(1, hosts...), ln.Addr().String(), s.Addr("agent"))
 	r.accepted = func() <-chan time.Time { return accepted }
@@ -174,11 +174,7 @@
 // An over-long query is passed over and the connection goes on behind it.
 func TestOverLongQuery(t *testing.T) {
 	s, _, _ := stage(t)
-	long := make([]byte, 2*longestQuery)
-	for i := range long {
-		long[i] = 'x'
-	}
-	s.Set("long", string(long))
+	s.Set("long", strings.Repeat("x", 2*longestQuery))
 	s.Play(`
 		send c1 startup | Q "{long}" | Q ""
 		expect c1 welcome | E 54000 | Z | I | Z`)
@@ -188,7 +184,8 @@
 // query, and as bytes in the answer.
 func TestLargestValue(t *testing.T) {
 	s, _, _ := stage(t)
-	s.Set("hex", strings.Repeat("9f", 64<<10), "value", strings.Repeat("v", 64<<10))
+	s.Set("hex", strings.Repeat("9f", 64<<10))
+	s.Set("value", strings.Repeat("v", 64<<10))
 	s.Play(`
 		send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ INSERT '{hex}'"
 		wait s1
@@ -199,41 +196,28 @@
 		expect c1 welcome | T | D "{value}" | C | Z`)
 }
 
-// A write that the first member turns away untouched goes to the next one.
-func TestMissMovesOn(t *testing.T) {
-	s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
-	s.Play(`
-		send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ A"
-		wait s2
-		expect s2 startup
-		send s2 welcome
-		expect s2 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
-		send s2 E 25006 | S rank=copy | Z
-		wait s1
-		expect s1 startup
-		send s1 welcome
-		expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
-		send s1 T | D "v" | C | S rank=source | Z
-		expect c1 welcome | T | D "v" | C | Z`)
-}
-
-// A data server's 53300 is never the answer: the module tries another one, and
-// only what the module refuses is refused.
-func TestBusyMovesOn(t *testing.T) {
-	s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
-	s.Play(`
-		send c1 startup | Q "/* id=01,c=write,d=20000,cluster=1 */ A"
-		wait s2
-		expect s2 startup
-		send s2 welcome
-		expect s2 Q "/* id=01,c=write,d=#,cluster=1 */ A"
-		send s2 E 53300 | S rank=source | Z
-		wait s1
-		expect s1 startup
-		send s1 welcome
-		expect s1 Q "/* id=01,c=write,d=#,cluster=1 */ A"
-		send s1 T | D "v" | C | S rank=source | Z
-		expect c1 welcome | T | D "v" | C | Z`)
+// What the first member turns away untouched goes to the next one: a miss, and a
+// data server's 53300, which is never the answer, as only the module refuses.
+func TestMovesOn(t *testing.T) {
+	for _, turned := range []string{"E 25006 | S rank=copy", "E 53300 | S rank=source"} {
+		t.Run(turned, func(t *testing.T) {
+			s, _, _ := stage(t, "h-1 {s1} 1 SERVING", "h-2 {s2} 1 SERVING")
+			s.Set("turned", turned)
+			s.Play(`
+				send c1 startup | Q "/* id=01,c=write,d=20000,k=ab,cluster=1 */ A"
+				wait s2
+				expect s2 startup
+				send s2 welcome
+				expect s2 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+				send s2 {turned} | Z
+				wait s1
+				expect s1 startup
+				send s1 welcome
+				expect s1 Q "/* id=01,c=write,d=#,k=ab,cluster=1 */ A"
+				send s1 T | D "v" | C | S rank=source | Z
+				expect c1 welcome | T | D "v" | C | Z`)
+		})
+	}
 }
 
 // A node that discovery says drains gets nothing new, from the list on; the
@@ -250,7 +234,7 @@
 		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
 		send s1 T | D "v" | C | S rank=copy | Z
 		expect c1 welcome | T | D "v" | C | Z`)
-	list := scenario.List(2, scenario.Expand(s, "h-1 {s1} 1 DRAINING"), scenario.Expand(s, "h-2 {s2} 1 SERVING"))
+	list := scenario.List(2, s.Expand("h-1 {s1} 1 DRAINING"), s.Expand("h-2 {s2} 1 SERVING"))
 	s.Play(scenario.HTTP("agent", list))
 	s.Play(`
 		expect s1 EOF
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -7,7 +7,7 @@
 //	wait s1                            wait until somebody connects to peer s1
 //
 // A name that was given to Dial is a client and connects when it is first used;
-// one given to Listen is a server, and stands for the connection that wait took
+// one given to New is a server, and stands for the connection that wait took
 // last. "wait s1 as s2" names that connection s2.
 //
 // Messages of PostgreSQL's protocol are written as their kind and what counts:
@@ -46,7 +46,7 @@
 	dial    string
 	clients string // the prefix of their names
 	conns   map[string]*peer
-	subst   *strings.Replacer
+	subst   []string // {name} and what stands for it, by turns
 }
 
 type peer struct {
@@ -56,13 +56,14 @@
 
 // New returns a stage with servers of these names on loopback.
 func New(t testing.TB, servers ...string) *Stage {
-	s := &Stage{t: t, servers: map[string]net.Listener{}, conns: map[string]*peer{}, subst: strings.NewReplacer()}
+	s := &Stage{t: t, servers: map[string]net.Listener{}, conns: map[string]*peer{}}
 	for _, name := range servers {
 		ln, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
 		}
 		s.servers[name] = ln
+		s.Set(name, s.Addr(name))
 		t.Cleanup(func() { ln.Close() })
 	}
 	t.Cleanup(s.Close)
@@ -85,13 +86,12 @@
 // Dial lets names that begin with prefix connect to an address.
 func (s *Stage) Dial(prefix, addr string) { s.clients, s.dial = prefix, addr }
 
-// Set replaces {name} by value in what follows.
-func (s *Stage) Set(pairs ...string) {
-	for i := 0; i < len(pairs); i += 2 {
-		pairs[i] = "{" + pairs[i] + "}"
-	}
-	s.subst = strings.NewReplacer(pairs...)
-}
+// Set replaces {name} by value in what follows. The name of a server stands for
+// its address from the start.
+func (s *Stage) Set(name, value string) { s.subst = append(s.subst, "{"+name+"}", value) }
+
+// Expand does the replacements in a text.
+func (s *Stage) Expand(text string) string { return strings.NewReplacer(s.subst...).Replace(text) }
 
 // Play does the steps of a scenario.
 func (s *Stage) Play(text string) {
@@ -100,7 +100,7 @@
 		if line = strings.TrimSpace(line); line == "" || strings.HasPrefix(line, "#") {
 			continue
 		}
-		if err := s.step(s.subst.Replace(line)); err != nil {
+		if err := s.step(s.Expand(line)); err != nil {
 			s.t.Fatalf("step %d, %s: %v", i, line, err)
 		}
 	}
--- a/internal/scenario/settings.go
+++ b/internal/scenario/settings.go
@@ -52,14 +52,6 @@
 	return file
 }
 
-// Expand replaces {name} by the address of a server.
-func Expand(s *Stage, text string) string {
-	for name := range s.servers {
-		text = strings.ReplaceAll(text, "{"+name+"}", s.Addr(name))
-	}
-	return text
-}
-
 // HTTP is the step that sends a 200 with this body.
 func HTTP(name, body string) string {
 	return fmt.Sprintf("send %s raw %q", name, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body))
