Take an answer that completes behind an error for a reset, not for served

No data server was seen to do this; malformed answers are resets. The new case fails on the code before and passes now.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -85,6 +85,8 @@
 		{greeted + `send s T | C | Z`, Result{Outcome: balance.Reset}, 0},
 		{greeted + `send s T | D "v" | D "v" | C | Z`, Result{Outcome: balance.Reset}, 0},
 		{greeted + `send s T | D "v" | C | E XX000 | Z`, Result{Outcome: balance.Reset}, 0},
+		// An error inside an answer is not healed by the command's end.
+		{greeted + `send s T | D "v" | E XX000 | C | Z`, Result{Outcome: balance.Reset}, 0},
 		{greeted + `send s raw "T\x00\x00\x00\x01"`, Result{Outcome: balance.Reset}, 0},
 		{greeted + `send s raw "D\x00\x0f\x00\x00"`, Result{Outcome: balance.Reset}, 0},
 		{greeted + `send s w "x"`, Result{Outcome: balance.Reset}, 0},
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -228,7 +228,7 @@
 			row = pgwire.Append(row, m.Kind, m.Body)
 			value = row[len(row)-len(v):]
 		case pgwire.CommandComplete:
-			if a == nil || rows != 1 || res.Outcome == balance.Done {
+			if a == nil || rows != 1 || res.Outcome != 0 {
 				return fail(fmt.Errorf("%w: end of a command with %d rows", pgwire.ErrMalformed, rows))
 			}
 			res.Outcome, res.Answer, res.Value = balance.Done, pgwire.Append(row, m.Kind, m.Body), value
