Ask no probes for positions where data servers check reads themselves

Traced over all 80 routers (every attempt, dial, probe and refusal as log lines). Each probe sent behind a miss also opened a connection, as the one that carried the miss rests 5 ms: dials rose with probes.

Ruled out: that they find the role (a report's role is passed over once a node has spoken) or shorten holds: reads that missed were diverted in the same step in which the probe went out, or there was no primary and no member could serve.

At fault: placeRead probed the likeliest replica whenever none was proven, also for reads that had just been judged by that replica. The change: probes for positions only where nodes do not check (Behind none); an attempt asks the same.

Test: TestNoProbesWhereNodesCheck.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -771,7 +771,8 @@
 		}
 	}
 	// A router among many hears a replica too seldom to know its position: it asks the likely one at once.
-	if b.now >= g.probeAt && b.set.ProbeReports {
+	// Where nodes check, an attempt asks the same and may be served.
+	if b.now >= g.probeAt && b.set.ProbeReports && b.set.Behind == BehindNone {
 		b.probe(cmp.Or(ahead.n, hope))
 	}
 	if b.now-r.heldAt < Nanos(holdShare*float64(b.set.Classes[r.c].Aim)) && hope != nil && !r.missed {
