Let cold servers have their budget by usual demand instead of one draw a window

Checked: the budget itself (3 x least warmth x mean use) covers the writes from the first second on. Each router has one write for a group every 6 s, so a fifth of the routers has one in a 1.5 s window, and each drew with the chance that its part is of one request: a tenth of the budget was used. Ruled out: that primaries were unknown (152 of 1,370), or full (21).

At fault: warmRoom's one draw a window where the part is less than a request, and ties that gave a cold replica as much as a warm one. The change: there a request goes with the chance part / usual demand, the demand counted from this router's own requests a group and in the mean of all groups; no more than two a window. Ties weigh a warming replica by its warmth.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -91,7 +91,8 @@
 	attempts                    []*attempt
 	live                        int
 	queued, missed, ended       bool
-	sent                        bool // an attempt reached its node
+	sent                        bool    // an attempt reached its node
+	luck                        float64 // its draw against the chances of cold nodes
 }
 
 type tokenKey struct {
@@ -114,6 +115,7 @@
 	floor             Nanos        // commits up to here are no longer remembered one by one
 	queues            [][]*request // two a class: within the tenant's quota, over it
 	load              float64      // as a node's, over all members
+	asked, want       [2]float64   // work asked in this window, and usually: of replicas, of the primary
 	dirty             bool
 }
 
@@ -138,7 +140,8 @@
 	answered        float64   // work answered since partAt
 	lost            float64   // share of attempts that were lost at nodes that answered others
 	partAt          Nanos
-	quota           []quota // by tenant
+	want            [2]float64 // as a group's, the mean of all groups
+	quota           []quota    // by tenant
 	minAim, maxDead Nanos
 	ticking         bool
 }
@@ -506,6 +509,7 @@
 		r.need = b.tokenFor(r, e)
 	}
 	b.requests[r.id], b.bySeq[r.seq] = r, r
+	g.asked[b.side(r)] += b.work[e.Class]
 	// Departure: many routers with one pending each fill a node, so limits can't hold the crowd back. There
 	// what is beyond is refused at once, and may come again.
 	if float64(b.set.Instances)*leastLimit > startLimit && b.crowded(g) {
@@ -860,7 +864,8 @@
 // all have nothing pending and ties decide: a seeded draw, with chances that fall with the square of the
 // answer times lately seen, so that slow nodes get little, and no two routers flock to the same one.
 func (b *Balancer) lighter(p *pick, n *node) {
-	pending, chance := float64(len(n.out))/(n.weight*b.warmth(n)), 1/(n.load*n.load)
+	warm := b.warmth(n)
+	pending, chance := float64(len(n.out))/(n.weight*warm), warm/(n.load*n.load)
 	if p.n == nil || pending < p.pending {
 		*p = pick{n, pending, 0}
 	} else if pending > p.pending {
@@ -920,8 +925,9 @@
 
 // warmRoom keeps all routers together within a warming node's budget. This router's part is what a warm node
 // does for it in the mean, which sums up over the routers to what such a node does for all: less than it
-// could, and that is the safety. Where the part is less than a request a window, one draw a window lets
-// a request go at that share: a first request that were always allowed would be multiplied by all routers.
+// could, and that is the safety. Where the part is less than a request a window, few routers have one at hand
+// when they might send it: there each request goes with the chance that the part is of what is usually asked,
+// no more than two a window.
 func (b *Balancer) warmRoom(n *node, r *request) bool {
 	w, span := b.warmth(n), b.set.OverloadFor
 	if w >= 1 || span == 0 {
@@ -936,16 +942,52 @@
 	// The rule holds for any window: what the last one sent counts as far as it may lie in a sliding one.
 	used := n.coldWork + n.coldLast*(1-float64(b.now-n.coldAt)/float64(span))
 	budget := b.set.FallMultiple * w * b.part * n.weight * float64(span)
+	if work, usual := b.work[r.c], b.usual(n); budget < work && usual > 0 {
+		if r.luck == 0 {
+			r.luck = b.draw()
+		}
+		return used < work && r.luck*usual < budget
+	}
 	return budget-used >= n.draw*b.work[r.c]
 }
 
+// usual is the work that this router has for a node in a window: a group's own, but not less than the mean
+// group's, as one group is seen too seldom; of reads, a replica's part. 0: not known yet.
+func (b *Balancer) usual(n *node) float64 {
+	if n == n.g.primary {
+		return max(n.g.want[1], b.want[1])
+	}
+	peers := 0
+	for _, m := range n.g.members {
+		if m != n.g.primary && b.usable(m) {
+			peers++
+		}
+	}
+	return max(n.g.want[0], b.want[0]) / float64(max(peers, 1))
+}
+
+// side is 1 for what only the primary takes, 0 for the other reads.
+func (b *Balancer) side(r *request) int {
+	if read := b.set.Classes[r.c].Read; read == Write || read == Fresh {
+		return 1
+	}
+	return 0
+}
+
 // learnPart counts answered work, so that a backlog is not taken for capacity.
 func (b *Balancer) learnPart() {
 	span, size := b.now-b.partAt, 0.0
 	if span < b.set.OverloadFor || span == 0 {
 		return
 	}
+	var want [2]float64
 	for _, g := range b.order {
+		for i := range g.want {
+			asked := g.asked[i] * float64(b.set.OverloadFor) / float64(span)
+			g.want[i] += loadWeight * (asked - g.want[i])
+			want[i] += asked / float64(len(b.order))
+			g.asked[i] = 0
+		}
 		for _, n := range g.members {
 			if n.state == Ready { // suspects too: while all fail by turns, the few others are no measure
 				size += n.weight * b.warmth(n)
@@ -954,6 +996,12 @@
 	}
 	if b.partAt > 0 && size > 0 {
 		b.part += loadWeight * (b.answered/float64(span)/size - b.part)
+		for i, w := range want {
+			if b.want[i] == 0 { // the first window is all that is known
+				b.want[i] = w
+			}
+			b.want[i] += loadWeight * (w - b.want[i])
+		}
 	}
 	b.answered, b.partAt = 0, b.now
 }
