Weigh errors in ties, wait for an erring primary, and keep to warm connections

Writes: 5,381 misses, of them 1,077 in one group whose primary erred; in its worst 2.5 s 16 of 50 writes were served. And 9,700 connections were opened where 80 routers with a primary and a replica for each of 16 groups need 2,560, at a price of 0.08 each.

Checked: a router meets a server once in 3 s, so four errors in a row are rare, and one answer in between clears the count. While a primary pauses after an error or a full queue, place sent its writes to the other members, each a miss.

At fault: lighter, whose ties know answer times but no errors, and draw anew among all for each read; place, which took a pause for a lost primary; judge, which suspected a primary that had just said that it is one. The change: the share of errors weighs in ties; a primary that errs or is full is waited for, with a short pause; where the settings put a price on handshakes, ties go to replicas with an idle connection first, unless they are crowded or err (a Departure, marked).

Tests: TestFleetOpensFewConnections, TestFleetLeavesAnErringReplica, TestErringPrimaryIsAskedAgain.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"math"
 	"slices"
 )
 
@@ -29,6 +30,7 @@
 	lostLeast      = 0.003 // share of attempts lately lost, from which one that is slow is taken for lost
 	lostWeight     = 0.01  // weight of the newest attempt in that share
 	lostWork       = 5.0   // usual times of an answer after which an attempt is slow
+	errWeight      = 0.3   // weight of the newest answer in a node's share of errors: few have any
 	lostAim        = 0.5   // of its aim it is given at least
 	backoffMax     = 8     // longest pause before a suspect's next trial, in shortest aims
 	holdShare      = 0.125 // of its aim a read is held for a passing proof before it is diverted
@@ -55,11 +57,13 @@
 	out                      []*attempt
 	limit                    float64
 	load                     float64 // mean of answer time over aim
+	errs                     float64 // share of answers that are errors, lately
 	fails, busy              int     // in a row
 	suspect, probing, down   bool    // down: refused connections since its last answer
 	trialAt, backoff         Nanos
 	pauseTill                Nanos // said busy
 	canaryAt                 Nanos
+	metTill                  Nanos // an idle connection to it is likely until then
 	coldAt                   Nanos // while cold: start of the present window, work sent in it, and its draw
 	coldWork, coldLast, draw float64
 }
@@ -68,6 +72,7 @@
 type pick struct {
 	n                *node
 	pending, chances float64
+	met              bool
 }
 
 type quota struct{ left, at float64 }
@@ -385,6 +390,7 @@
 		b.patience[c] += workWeight * (float64(b.set.Classes[c].Aim) - b.patience[c])
 		b.work[c] += workWeight * (took - work)
 		b.answered += work
+		n.errs -= errWeight * n.errs
 		b.lost -= lostWeight * b.lost
 		b.clear(n)
 	case Miss:
@@ -396,7 +402,14 @@
 		n.limit = max(b.leastOf(n), n.limit-step)
 		b.pause(n, Nanos(work))
 	case Failed, Refused, Reset:
-		n.down = n.down || e.Outcome == Refused
+		if e.Outcome == Failed {
+			n.errs += errWeight * (1 - n.errs)
+			if e.Role == Primary { // it is there, and nobody else takes what only it can do
+				n.pauseTill = b.now + Nanos(work/2)
+				break
+			}
+		}
+		n.down, n.metTill = n.down || e.Outcome == Refused, 0
 		b.failed(n, Nanos(work))
 	case Canceled, TimedOut:
 		// What ends unanswered was slow: else only survivors would count. It counts for one aim at most, so that
@@ -411,7 +424,7 @@
 		}
 	}
 	if slices.Contains([]Outcome{Done, Miss, Busy, Failed}, e.Outcome) {
-		n.lastAns = b.now
+		n.lastAns, n.metTill = b.now, b.now+b.set.IdleClose/2
 		b.told(n, e.Role, e.Position)
 	}
 }
@@ -509,7 +522,11 @@
 		r.need = b.tokenFor(r, e)
 	}
 	b.requests[r.id], b.bySeq[r.seq] = r, r
-	g.asked[b.side(r)] += b.work[e.Class]
+	if c.Read == Write || c.Read == Fresh {
+		g.asked[1] += b.work[r.c]
+	} else {
+		g.asked[0] += b.work[r.c]
+	}
 	// Departure: many routers with one pending each fill a node, so limits can't hold the crowd back. There
 	// what is beyond is refused at once, and may come again.
 	if float64(b.set.Instances)*leastLimit > startLimit && b.crowded(g) {
@@ -723,10 +740,10 @@
 // place chooses the node for a held request, or nil to hold it on.
 func (b *Balancer) place(g *group, r *request) *node {
 	c := &b.set.Classes[r.c]
-	if c.Read == Write && !b.usable(g.primary) {
+	if p := g.primary; c.Read == Write && (p == nil || p.suspect || p.fails > 0 && !b.usable(p)) {
 		return b.canary(g, r)
 	} else if c.Read == Write {
-		return b.ifRoom(g.primary, r)
+		return b.ifRoom(p, r)
 	} else if n := b.trial(g, r); n != nil {
 		return n
 	} else if c.Read == Fresh {
@@ -862,13 +879,16 @@
 
 // lighter is LPRF: pending for size, a warming node's size being its present share. With many routers nearly
 // all have nothing pending and ties decide: a seeded draw, with chances that fall with the square of the
-// answer times lately seen, so that slow nodes get little, and no two routers flock to the same one.
+// answer times and errors lately seen, so that bad nodes get little, and no two routers flock to one.
+// Departure: where a new connection has a price, ties go to nodes in order that have one idle, or each of
+// many routers would in time open one to each node.
 func (b *Balancer) lighter(p *pick, n *node) {
 	warm := b.warmth(n)
-	pending, chance := float64(len(n.out))/(n.weight*warm), warm/(n.load*n.load)
-	if p.n == nil || pending < p.pending {
-		*p = pick{n, pending, 0}
-	} else if pending > p.pending {
+	pending, chance := float64(len(n.out))/(n.weight*warm), warm*math.Pow((1-n.errs)/n.load, 2)
+	met := b.set.HandshakePrice == 0 || b.now < n.metTill && n.load <= fullLoad && n.errs < errWeight/2
+	if p.n == nil || pending < p.pending || pending == p.pending && met && !p.met {
+		*p = pick{n, pending, 0, met}
+	} else if pending > p.pending || p.met && !met {
 		return
 	}
 	if p.chances += chance; b.draw()*p.chances < chance {
@@ -966,14 +986,6 @@
 	return max(n.g.want[0], b.want[0]) / float64(max(peers, 1))
 }
 
-// side is 1 for what only the primary takes, 0 for the other reads.
-func (b *Balancer) side(r *request) int {
-	if read := b.set.Classes[r.c].Read; read == Write || read == Fresh {
-		return 1
-	}
-	return 0
-}
-
 // learnPart counts answered work, so that a backlog is not taken for capacity.
 func (b *Balancer) learnPart() {
 	span, size := b.now-b.partAt, 0.0
@@ -997,9 +1009,7 @@
 	if b.partAt > 0 && size > 0 {
 		b.part += loadWeight * (b.answered/float64(span)/size - b.part)
 		for i, w := range want {
-			if b.want[i] == 0 { // the first window is all that is known
-				b.want[i] = w
-			}
+			b.want[i] = cmp.Or(b.want[i], w) // the first window is all that is known
 			b.want[i] += loadWeight * (w - b.want[i])
 		}
 	}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -111,3 +111,118 @@
 		t.Errorf("%d of %d writes went to a cold primary that could do all", sent, asked)
 	}
 }
+
+// serve ends all attempts that are out on a rig after a while; fails says which nodes answer with an error.
+func (r *rig) serve(took Nanos, acts []Action, role func(node uint32) Role, fails func(node uint32) bool) (tries []uint32) {
+	r.t.Helper()
+	for sends := of(Send, acts); len(sends) > 0; sends = of(Send, acts) {
+		a := sends[0]
+		no := len(r.b.requests[a.Request].attempts) - 1
+		tries = append(tries, a.Node)
+		if r.now += took; fails(a.Node) {
+			acts = r.out(a.Request, no, a.Node, Failed, role(a.Node), r.now)
+			for range 20 { // past the pause
+				if len(of(Send, acts)) > 0 || r.b.requests[a.Request] == nil {
+					break
+				}
+				r.now += 20 * ms
+				acts = r.step(Event{Kind: Wakeup})
+			}
+		} else {
+			acts = r.out(a.Request, no, a.Node, Done, role(a.Node), r.now)
+		}
+	}
+	return tries
+}
+
+func roleOf(node uint32) Role {
+	if node == 1 {
+		return Primary
+	}
+	return Replica
+}
+
+// Each of eighty routers would in time open a connection to each replica, although it never has two reads at once. Where
+// a handshake has a price, it keeps to the one that it has; and the routers together do not flock to one replica.
+func TestFleetOpensFewConnections(t *testing.T) {
+	for _, c := range []struct {
+		price     float64
+		low, high float64 // replicas met by a router, in the mean
+	}{{0, 2.9, 3}, {0.08, 1, 1.2}} {
+		met, reads := 0, map[uint32]int{}
+		for _, r := range fleet(t, 80, func(s *Settings) { s.HandshakePrice, s.IdleClose = c.price, 30e9 }) {
+			r.members(4)
+			mine := map[uint32]bool{}
+			for range 25 {
+				r.now += second
+				_, acts := r.in(cAny, "")
+				for _, n := range r.serve(70*ms, acts, roleOf, func(uint32) bool { return false }) {
+					mine[n] = true
+					reads[n]++
+				}
+			}
+			met += len(mine)
+		}
+		if mean := float64(met) / 80; mean < c.low || mean > c.high {
+			t.Errorf("price %.2f: a router met %.2f replicas, want %.1f to %.1f", c.price, mean, c.low, c.high)
+		}
+		for n := uint32(2); n <= 4; n++ {
+			if share := float64(reads[n]) / (80 * 25); share < 0.2 || share > 0.47 {
+				t.Errorf("price %.2f: replica %d had %.2f of the reads", c.price, n, share)
+			}
+		}
+	}
+}
+
+// A replica that answers four of five reads with an error, and at once, looks idle, and each router meets it too seldom
+// to see four failures in a row. It must lose most of its share, and get it back once it is well.
+func TestFleetLeavesAnErringReplica(t *testing.T) {
+	const routers = 80
+	sent, reads := [2]int{}, [2]int{}
+	for i, r := range fleet(t, routers, nil) {
+		r.members(4)
+		n := i
+		for at := range 60 {
+			phase := at / 30
+			r.now += second
+			_, acts := r.in(cAny, "")
+			tries := r.serve(80*ms, acts, roleOf, func(node uint32) bool { n++; return node == 3 && phase == 0 && n%5 > 0 })
+			if at%30 < 10 { // it learns
+				continue
+			}
+			reads[phase]++
+			for _, node := range tries {
+				if node == 3 {
+					sent[phase]++
+				}
+			}
+		}
+	}
+	if share := float64(sent[0]) / float64(reads[0]); share > 0.15 {
+		t.Errorf("%.2f attempts a read at a replica that errs, a third if it did not", share)
+	}
+	if share := float64(sent[1]) / float64(reads[1]); share < 0.1 {
+		t.Errorf("%.2f of the reads at the replica after it was well again", share)
+	}
+}
+
+// A primary that answers with errors says that it is there, and no other member takes writes: the attempts left must not
+// be spent on replicas, each of which can only say that it is none.
+func TestErringPrimaryIsAskedAgain(t *testing.T) {
+	r := newRig(t, func(s *Settings) { s.Instances = 80 })
+	r.members(4)
+	for range 5 {
+		r.now += second
+		n := 0
+		_, acts := r.in(cKeyed, "")
+		tries := r.serve(3*ms, acts, roleOf, func(uint32) bool { n++; return n < 5 })
+		if len(tries) != 5 {
+			t.Fatalf("%d attempts, want one that is served after four errors", len(tries))
+		}
+		for _, node := range tries {
+			if node != 1 {
+				t.Fatalf("attempts at %v: the primary is 1", tries)
+			}
+		}
+	}
+}
--- a/balance/interface.go
+++ b/balance/interface.go
@@ -105,7 +105,9 @@
 
 	OverShareWorth float64
 	LateFailPrice  float64
-	HalfwayBound   bool // refused or failed past half of its time with nothing sent, a request costs more than the rest is worth
+	HandshakePrice float64 // of a new connection, as a share of a request's worth
+	IdleClose      Nanos   // connections that stood idle so long are closed
+	HalfwayBound   bool    // refused or failed past half of its time with nothing sent, a request costs more than the rest is worth
 }
 
 // EventKind names an event.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -114,7 +114,8 @@
 		ConnectTimeout balance.Nanos `json:"connectTimeout"`
 	} `json:"limits"`
 	Penalties struct {
-		LateFail float64 `json:"lateFail"`
+		LateFail  float64 `json:"lateFail"`
+		Handshake float64 `json:"handshake"`
 	} `json:"penalties"`
 	Report struct {
 		Fields []string `json:"fields"`
@@ -175,7 +176,8 @@
 		MaxRetryAfter: e.Limits.MaxRetryAfter, ColdShare: e.Rules.ColdShare, RampTime: e.Rules.RampTime,
 		FallMultiple: e.Rules.FallMultiple, OverloadFor: e.Rules.OverloadFor,
 		AnswerSlack: e.Rules.AnswerSlack, SoftRemoval: e.Rules.SoftRemoval,
-		OverShareWorth: e.OverShare, LateFailPrice: e.Penalties.LateFail}
+		OverShareWorth: e.OverShare, LateFailPrice: e.Penalties.LateFail,
+		HandshakePrice: e.Penalties.Handshake, IdleClose: e.Limits.IdleClose}
 	for _, f := range e.Report.Fields {
 		s.ProbeReports = s.ProbeReports || (f == "x0" && e.Report.How != "none")
 	}
