Let a full primary's writes ask the other members again

At fault: the condition in place, which looked at errors in a row and not at full answers in a row. Both count now.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -740,7 +740,7 @@
 // place chooses the node for a held request, or nil to hold it on.
 func (b *Balancer) place(g *group, r *request) *node {
 	c := &b.set.Classes[r.c]
-	if p := g.primary; c.Read == Write && (p == nil || p.suspect || p.fails > 0 && !b.usable(p)) {
+	if p := g.primary; c.Read == Write && (p == nil || p.suspect || p.fails+p.busy > 0 && !b.usable(p)) {
 		return b.canary(g, r)
 	} else if c.Read == Write {
 		return b.ifRoom(p, r)
