Let a group's load fade with time, so that a jam is not believed for ten seconds after it

A router hears one answer a second of a group, and the refusals lower that: a mean with weight 0.1 for the newest takes ten seconds.

At fault: weigh, which moved the group's load by a fixed share an answer. The change: answers are counted and fade within the longest deadline, and the mean is drawn to calm by three answers' weight: quick with many answers, careful with few.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,10 +1,9 @@
 package balance
 
-// The decisions of the router. Types, events and actions: interface.go.
-//
-// The mechanism is RSI-PC of the Ganymed paper: updates go to the primary, other reads to a replica whose
-// last known log position covers them, least pending requests first; with no such replica the read is
-// held, then diverted. Each departure is marked "Departure:" and listed in docs/design.md.
+// The decisions of the router; types, events and actions: interface.go. The mechanism is RSI-PC of the
+// Ganymed paper: updates go to the primary, other reads to a replica whose last known log position covers
+// them, least pending requests first; with no such replica the read is held, then diverted.
+// Each departure is marked "Departure:" and listed in docs/design.md.
 
 import (
 	"cmp"
@@ -21,6 +20,7 @@
 	leastLimit     = 1.0   // a limit never falls under this, or a slow node could not show that it recovered
 	fullLoad       = 0.35  // answers may take this share of their aim on average before the limit shrinks
 	step           = 0.2   // of one pending, per answer: a limit shrinks or grows by about a fifth a round trip
+	calmWeight     = 3.0   // answers of a calm group that count beside those lately heard
 	loadWeight     = 0.1   // weight of the newest answer in a load, and of the newest window in a node's part
 	leaveWeight    = 8.0   // a client that left says so much more of patience than one that was served
 	workWeight     = 0.05  // weight of the newest answer in a class's learned work
@@ -119,7 +119,8 @@
 	canaryAt, probeAt Nanos
 	floor             Nanos        // commits up to here are no longer remembered one by one
 	queues            [][]*request // two a class: within the tenant's quota, over it
-	load              float64      // as a node's, over all members
+	shares, count     float64      // answers' shares of their aims, summed, and how many: of late
+	learnt            Nanos        // when these were last told
 	asked, want       [2]float64   // work asked in this window, and usually: of replicas, of the primary
 	dirty             bool
 }
@@ -192,8 +193,7 @@
 	return errors.Join(errs...)
 }
 
-// Step takes the events of one batch and returns what to do now. Time never runs backwards: an earlier
-// clock counts as the last one.
+// Step takes a batch's events and returns what to do now. A clock earlier than the last counts as the last.
 func (b *Balancer) Step(now Nanos, events []Event) []Action {
 	b.now = max(b.now, now)
 	b.acts = nil
@@ -285,7 +285,7 @@
 func (b *Balancer) group(id int64) *group {
 	g := b.groups[id]
 	if g == nil {
-		g = &group{id: id, load: firstWork, queues: make([][]*request, 2*len(b.set.Classes))}
+		g = &group{id: id, queues: make([][]*request, 2*len(b.set.Classes))}
 		b.groups[id] = g
 		b.order = append(b.order, g)
 	}
@@ -412,8 +412,7 @@
 		n.down, n.metTill = n.down || e.Outcome == Refused, 0
 		b.failed(n, Nanos(work))
 	case Canceled, TimedOut:
-		// What ends unanswered was slow: else only survivors would count. It counts for one aim at most, so that
-		// a few heavy requests don't close the node.
+		// What ends unanswered was slow, else only survivors would count; for one aim at most, as it may be heavy.
 		late := e.Outcome == TimedOut
 		if late && n.lastAns > a.sent && n.load <= fullLoad {
 			b.lost += lostWeight * (1 - b.lost)
@@ -432,7 +431,7 @@
 // weigh moves the node's load by one attempt's share of its aim, and its limit after it.
 func (b *Balancer) weigh(n *node, share float64) {
 	n.load += loadWeight * (min(share, 2) - n.load)
-	n.g.load += loadWeight * (min(share, 2) - n.g.load)
+	n.g.learn(b.now, b.maxDead, share, 1)
 	if n.load > fullLoad {
 		n.limit = max(b.leastOf(n), n.limit-step)
 	} else if float64(len(n.out)+1) >= n.limit-1 {
@@ -440,8 +439,7 @@
 	}
 }
 
-// leastOf is under what no limit falls: this router's part of the cores, which work side by side however
-// slow each one is.
+// leastOf is the least limit: this router's part of the cores, which work side by side however slow.
 func (b *Balancer) leastOf(n *node) float64 {
 	return max(leastLimit, n.weight/float64(b.set.Instances))
 }
@@ -480,8 +478,7 @@
 	n.trialAt = b.now + n.backoff
 }
 
-// probed takes a probe's word on role and position. A probe answers beside the queue, so it says nothing
-// of health.
+// probed takes a probe's word on role and position; it is answered beside the queue and proves no health.
 func (b *Balancer) probed(e *Event) {
 	if n := b.nodes[e.Node]; n != nil && n.probing {
 		role := e.Role
@@ -491,7 +488,7 @@
 		b.told(n, role, e.Position) // both empty where the probe failed
 		if e.Reported {
 			n.load = firstWork * (1 + float64(e.Waiting)/float64(max(1, e.Active-e.Waiting)))
-			n.g.load += loadWeight * (min(n.load, 2) - n.g.load)
+			n.g.learn(b.now, b.maxDead, n.load, 1)
 		}
 	}
 }
@@ -536,8 +533,16 @@
 	}
 }
 
+// learn counts n answers' share of their aim and returns the mean. What was counted fades within a span, and
+// calmWeight answers of a calm group stand beside it: one of many routers hears few before a jam is over.
+func (g *group) learn(now, span Nanos, share, n float64) float64 {
+	fade := math.Exp(-float64(now-g.learnt) / float64(span))
+	g.shares, g.count, g.learnt = g.shares*fade+n*min(share, 2), g.count*fade+n, now
+	return (g.shares + calmWeight*firstWork) / (g.count + calmWeight)
+}
+
 // crowded draws whether one more request is beyond what a group answers within fullLoad of the aims.
-func (b *Balancer) crowded(g *group) bool { return g.load*b.draw() > fullLoad }
+func (b *Balancer) crowded(g *group) bool { return g.learn(b.now, b.maxDead, 0, 0)*b.draw() > fullLoad }
 
 func (b *Balancer) overQuota(t int) bool {
 	if t < 0 || t >= len(b.quota) || b.set.Tenants[t].Quota <= 0 {
@@ -752,8 +757,7 @@
 	return b.placeRead(g, r)
 }
 
-// placeRead is the mechanism: LPRF over the replicas whose known position covers the read; else hold, then
-// divert. Full, suspect and cold replicas count as not valid.
+// placeRead is the mechanism: LPRF over the replicas whose position covers the read; else hold, then divert.
 func (b *Balancer) placeRead(g *group, r *request) *node {
 	var best, ahead pick
 	var hope *node
@@ -791,8 +795,7 @@
 			return n
 		}
 	}
-	// A router among many hears a replica too seldom to know its position: it asks the likely one at once.
-	// Where nodes check, an attempt asks the same and may be served.
+	// A router among many hears a replica too seldom to know its position: where no attempt tells, it probes.
 	if b.now >= g.probeAt && b.set.ProbeReports && b.set.Behind == BehindNone {
 		b.probe(cmp.Or(ahead.n, hope))
 	}
@@ -944,10 +947,9 @@
 }
 
 // warmRoom keeps all routers together within a warming node's budget. This router's part is what a warm node
-// does for it in the mean, which sums up over the routers to what such a node does for all: less than it
-// could, and that is the safety. Where the part is less than a request a window, few routers have one at hand
-// when they might send it: there each request goes with the chance that the part is of what is usually asked,
-// no more than two a window.
+// does for it in the mean, which sums up over the routers to less than the node could do: that is the safety.
+// Where the part is less than a request a window, few routers have one at hand when they might send it: there
+// each goes with the chance that the part is of what is usually asked, and no more than two a window.
 func (b *Balancer) warmRoom(n *node, r *request) bool {
 	w, span := b.warmth(n), b.set.OverloadFor
 	if w >= 1 || span == 0 {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -573,7 +573,8 @@
 		r.members(3)
 		refused := 0
 		for range 200 {
-			r.b.groups[1].load = c.load
+			g := r.b.groups[1]
+			g.shares, g.count, g.learnt = c.load*1e6, 1e6, r.now
 			_, acts := r.in(cAny, "")
 			for _, a := range of(Refuse, acts) {
 				if refused++; a.Wait == 0 {
@@ -623,7 +624,7 @@
 		r.step(Event{Kind: RequestGone, Request: id})
 		r.out(id, 0, node, Canceled, RoleUnknown, 0)
 	}
-	if got := r.b.groups[1].load; got < fullLoad {
+	if got := r.b.groups[1].learn(r.now, r.b.maxDead, 0, 0); got < fullLoad {
 		t.Errorf("group load %.2f after 20 clients left unanswered at most of the aim", got)
 	}
 }
@@ -633,13 +634,13 @@
 func TestReportedQueueIsAvoided(t *testing.T) {
 	r := newRig(t, func(s *Settings) { s.ProbeReports = true })
 	r.members(3)
-	before := r.b.groups[1].load
+	before := r.b.groups[1].learn(r.now, r.b.maxDead, 0, 0)
 	for node, waiting := range map[uint32]int{2: 0, 3: 12} {
 		r.b.nodes[node].probing = true
 		r.step(Event{Kind: ProbeDone, Node: node, Outcome: Done, Role: Replica, Position: r.now, Reported: true,
 			Waiting: waiting, Active: waiting + 3})
 	}
-	if r.b.groups[1].load <= before {
+	if r.b.groups[1].learn(r.now, r.b.maxDead, 0, 0) <= before {
 		t.Error("a queue of 12 did not raise the group's load")
 	}
 	got := map[uint32]int{}
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -226,3 +226,31 @@
 		}
 	}
 }
+
+// A jam in one group of many: each router heard a few late answers. Once the group is quick again, its routers must learn
+// so within seconds, though each of them asks once a second; ten late answers must still bring refusals.
+func TestFleetForgetsAJam(t *testing.T) {
+	refused, asked := [2]int{}, [2]int{}
+	for _, r := range fleet(t, 80, nil) {
+		r.members(3)
+		for at := range 20 {
+			took, phase := 600*ms, 0 // half as long again as the aim
+			if at >= 10 {
+				took, phase = 60*ms, 1
+			}
+			r.now += second
+			_, acts := r.in(cAny, "")
+			if at >= 5 && at < 10 || at >= 14 {
+				asked[phase]++
+				refused[phase] += len(of(Refuse, acts))
+			}
+			r.serve(took, acts, roleOf, func(uint32) bool { return false })
+		}
+	}
+	if share := float64(refused[0]) / float64(asked[0]); share < 0.1 {
+		t.Errorf("%.2f refused in a jam", share)
+	}
+	if share := float64(refused[1]) / float64(asked[1]); share > 0.01 {
+		t.Errorf("%.2f refused, four seconds and more after the jam", share)
+	}
+}
