Take a hall for dark when three of its servers stay silent, and ask by probe for its return

Checked: each router lost up to four requests to each of 18 servers before it was suspect (80 x 18 x 4), and then a read at each trial, at most every 2.4 s a server: as many as the server's share of all reads. Ruled out: writes (98 expired at a suspect primary, 73 without one) and crowds (1,361, most of them later).

At fault: failed and trial, which know single nodes only. The change: decide/hall, a decision of its own, hears of connections that never came up and of answers, hall by hall; usable and mayAsk pass over a dark hall's servers, writes look for another primary, and one probe at a time asks whether the hall is back.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,6 +11,8 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"lotushook/decide/hall"
 )
 
 // Tuned values. All are dimensionless; spans come from the settings or from traffic.
@@ -25,6 +27,7 @@
 	leaveWeight    = 8.0   // a client that left says so much more of patience than one that was served
 	workWeight     = 0.05  // weight of the newest answer in a class's learned work
 	firstWork      = 0.2   // a class's work before any answer, as a share of its aim
+	hallLeast      = 3     // silent servers of a hall, with no answer from any, that make it dark
 	silentScore    = 12.0  // silent attempts' ages over their usual ages, summed, that make a node suspect
 	failsToSuspect = 4     // failures in a row; fewer may be a full connection table, or all nodes' fault
 	lostLeast      = 0.003 // share of attempts lately lost, from which one that is slow is taken for lost
@@ -56,8 +59,7 @@
 	role                     Role
 	out                      []*attempt
 	limit                    float64
-	load                     float64 // mean of answer time over aim
-	errs                     float64 // share of answers that are errors, lately
+	load, errs               float64 // means: answer time over aim; errors among answers
 	fails, busy              int     // in a row
 	suspect, probing, down   bool    // down: refused connections since its last answer
 	trialAt, backoff         Nanos
@@ -111,18 +113,17 @@
 }
 
 type group struct {
-	id                int64
-	members           []*node // by id
-	primary           *node   // last named primary by list or answers
-	primaryPos        Nanos   // position of the answer that named it
-	canary            *attempt
-	canaryAt, probeAt Nanos
-	floor             Nanos        // commits up to here are no longer remembered one by one
-	queues            [][]*request // two a class: within the tenant's quota, over it
-	shares, count     float64      // answers' shares of their aims, summed, and how many: of late
-	learnt            Nanos        // when these were last told
-	asked, want       [2]float64   // work asked in this window, and usually: of replicas, of the primary
-	dirty             bool
+	id                        int64
+	members                   []*node // by id
+	primary                   *node   // last named primary by list or answers
+	primaryPos                Nanos   // position of the answer that named it
+	canary                    *attempt
+	canaryAt, probeAt, learnt Nanos
+	floor                     Nanos        // commits up to here are no longer remembered one by one
+	queues                    [][]*request // two a class: within the tenant's quota, over it
+	shares, count             float64      // answers' shares of their aims, summed, and how many: of late
+	asked, want               [2]float64   // work asked in this window, and usually: of replicas, of the primary
+	dirty                     bool
 }
 
 // Balancer is one router instance. It is not safe for concurrent use.
@@ -146,6 +147,7 @@
 	answered        float64   // work answered since partAt
 	lost            float64   // share of attempts that were lost at nodes that answered others
 	partAt          Nanos
+	halls           *hall.Halls
 	want            [2]float64 // as a group's, the mean of all groups
 	quota           []quota    // by tenant
 	minAim, maxDead Nanos
@@ -170,7 +172,9 @@
 		b.rank = append(b.rank, 2*i, 2*i+1)
 	}
 	b.rankQueues()
-	return b, nil
+	var err error
+	b.halls, err = hall.New(hall.Settings{Servers: hallLeast, Pause: b.minAim, MaxPause: backoffMax * b.minAim})
+	return b, err
 }
 
 func validate(s *Settings) error {
@@ -250,8 +254,6 @@
 	}
 }
 
-// ---- Evidence: the list ----
-
 func (b *Balancer) list(e *Event) {
 	first := len(b.nodes) == 0
 	seen := map[uint32]bool{}
@@ -330,8 +332,6 @@
 	}
 }
 
-// ---- Evidence: answers ----
-
 // told takes a node's own word on role and position.
 func (b *Balancer) told(n *node, role Role, pos Nanos) {
 	g := n.g
@@ -402,7 +402,9 @@
 		n.limit = max(b.leastOf(n), n.limit-step)
 		b.pause(n, Nanos(work))
 	case Failed, Refused, Reset:
-		if e.Outcome == Failed {
+		if e.Outcome == Refused && b.now-a.sent > Nanos(work) && b.set.Probing { // it said nothing
+			b.halls.Silent(n.zone, n.id, a.sent, b.now)
+		} else if e.Outcome == Failed {
 			n.errs += errWeight * (1 - n.errs)
 			if e.Role == Primary { // it is there, and nobody else takes what only it can do
 				n.pauseTill = b.now + Nanos(work/2)
@@ -423,6 +425,7 @@
 		}
 	}
 	if slices.Contains([]Outcome{Done, Miss, Busy, Failed}, e.Outcome) {
+		b.halls.Answered(n.zone)
 		n.lastAns, n.metTill = b.now, b.now+b.set.IdleClose/2
 		b.told(n, e.Role, e.Position)
 	}
@@ -481,6 +484,9 @@
 // probed takes a probe's word on role and position; it is answered beside the queue and proves no health.
 func (b *Balancer) probed(e *Event) {
 	if n := b.nodes[e.Node]; n != nil && n.probing {
+		if e.Outcome == Done {
+			b.halls.Answered(n.zone)
+		}
 		role := e.Role
 		if n.probing = false; n.role != RoleUnknown {
 			role = RoleUnknown // a report is old: its role must not bring back what an answer denied
@@ -500,8 +506,6 @@
 	}
 }
 
-// ---- Requests ----
-
 func (b *Balancer) request(e *Event) {
 	if e.Class < 0 || e.Class >= len(b.set.Classes) {
 		b.act(Action{Kind: Refuse, Request: e.Request})
@@ -519,11 +523,7 @@
 		r.need = b.tokenFor(r, e)
 	}
 	b.requests[r.id], b.bySeq[r.seq] = r, r
-	if c.Read == Write || c.Read == Fresh {
-		g.asked[1] += b.work[r.c]
-	} else {
-		g.asked[0] += b.work[r.c]
-	}
+	g.asked[c.Read/Fresh] += b.work[r.c] // Fresh and Write are the primary's
 	// Departure: many routers with one pending each fill a node, so limits can't hold the crowd back. There
 	// what is beyond is refused at once, and may come again.
 	if float64(b.set.Instances)*leastLimit > startLimit && b.crowded(g) {
@@ -593,9 +593,8 @@
 	b.act(Action{Kind: Timer, At: max(b.lastStart(r), b.now+1), Tag: r.seq})
 }
 
-// lastStart is the latest time at which starting the request can still earn something. It is held past its
-// aim only where the worth of a late answer outweighs the price of failing late, and past half of its time
-// only if that is not charged: few of those that waited so long are served in the rest.
+// lastStart is the latest time at which starting the request can still earn something: past its aim only
+// where late worth outweighs the price of failing late, past half of its time only if that is not charged.
 func (b *Balancer) lastStart(r *request) Nanos {
 	c, last := &b.set.Classes[r.c], r.deadline
 	if c.LateWorth <= lateFactor*b.set.LateFailPrice {
@@ -663,8 +662,7 @@
 	}
 }
 
-// mayRepeat is the one rule on further attempts: from effect, key scope, window, and what may have run.
-// With n nil it asks for the group's nodes at large.
+// mayRepeat is the one rule on further attempts; with n nil, at the group's nodes at large.
 func (b *Balancer) mayRepeat(r *request, n *node) bool {
 	if len(r.attempts) >= b.set.MaxAttempts {
 		return false
@@ -682,8 +680,6 @@
 	return true
 }
 
-// ---- Routing ----
-
 // pump sends what can go, most worth for work first.
 func (b *Balancer) pump(g *group) {
 	if !g.dirty {
@@ -732,8 +728,7 @@
 }
 
 // until is when an attempt is given up. Departure: where attempts were lately lost at nodes that answered
-// others, one that takes many times as long as usual at a node that is not busy is taken for lost too, and
-// made again if a repeat does no harm. Without such evidence it is heavy, and left alone.
+// others, one that takes many times as long as usual at a node that is not busy is lost too, not heavy.
 func (b *Balancer) until(r *request, n *node) Nanos {
 	c := &b.set.Classes[r.c]
 	if b.lost < lostLeast || n.load > fullLoad || c.Effect == Unsafe || !b.mayRepeat(r, n) {
@@ -745,7 +740,8 @@
 // place chooses the node for a held request, or nil to hold it on.
 func (b *Balancer) place(g *group, r *request) *node {
 	c := &b.set.Classes[r.c]
-	if p := g.primary; c.Read == Write && (p == nil || p.suspect || p.fails+p.busy > 0 && !b.usable(p)) {
+	p := g.primary
+	if c.Read == Write && !b.usable(p) && (p == nil || p.suspect || p.fails+p.busy > 0 || b.dark(p)) {
 		return b.canary(g, r)
 	} else if c.Read == Write {
 		return b.ifRoom(p, r)
@@ -839,7 +835,7 @@
 func (b *Balancer) mayAsk(n *node, r *request) bool {
 	judged := b.set.Classes[r.c].Read != Fresh && b.set.Behind != BehindNone // by the node itself
 	return (n == n.g.primary || judged || b.covers(r, n.pos)) &&
-		n.state == Ready && b.now >= n.pauseTill && b.warmRoom(n, r)
+		n.state == Ready && b.now >= n.pauseTill && b.warmRoom(n, r) && !b.dark(n)
 }
 
 // canary sends one write at a time while no primary is known: a node that is none turns it away unrun.
@@ -863,8 +859,10 @@
 	return n
 }
 
+func (b *Balancer) dark(n *node) bool { return b.halls.Dark(n.zone, n.lastAns) }
+
 func (b *Balancer) usable(n *node) bool {
-	return n != nil && n.state == Ready && !n.suspect && b.now >= n.pauseTill
+	return n != nil && n.state == Ready && !n.suspect && b.now >= n.pauseTill && !b.dark(n)
 }
 
 // covers says whether a position is enough for a read.
@@ -907,11 +905,8 @@
 	return n
 }
 
-// ---- Time-outs and silence ----
-
 // tick looks at all nodes with attempts out. A node is suspect when it has answered nobody for so long that
-// its pending attempts, each weighed by how long it usually takes here, can't be chance. A request that is
-// old while its node answers others is heavy, and left alone.
+// its pending attempts, each weighed by how long it usually takes here, can't be chance.
 func (b *Balancer) tick() {
 	b.ticking = false
 	b.rankQueues()
@@ -920,6 +915,9 @@
 		g.dirty = true
 		for _, n := range g.members {
 			b.watch(n)
+			if b.dark(n) && n.state == Ready && b.draw() < loadWeight && b.halls.Try(n.zone, b.now) {
+				b.probe(n) // a read would be lost for the same word
+			}
 		}
 	}
 }
@@ -935,8 +933,6 @@
 	}
 }
 
-// ---- Cold nodes ----
-
 // warmth is the least share of its capacity that a node surely has by now.
 func (b *Balancer) warmth(n *node) float64 {
 	age := b.now - n.started
--- a/balance/fleet_test.go
+++ b/balance/fleet_test.go
@@ -1,6 +1,9 @@
 package balance
 
-import "testing"
+import (
+	"fmt"
+	"testing"
+)
 
 // What one router does now and then, eighty do all the time: the tests here guard the sums.
 
@@ -78,7 +81,7 @@
 			}
 			g := (int64(i) + at/1e9) % groups
 			r.next++
-			id := "w" + string(rune('a'+i)) + string(rune(r.next))
+			id := fmt.Sprintf("w%d", r.next)
 			acts := r.step(Event{Kind: RequestIn, Request: id, Class: cKeyed, Tenant: -1, Group: g, Deadline: r.now + 2e9})
 			if at > span && g == 0 {
 				asked++
@@ -254,3 +257,65 @@
 		t.Errorf("%.2f refused, four seconds and more after the jam", share)
 	}
 }
+
+// A hall of eighteen servers, one in each group, vanishes: connections to it time out. Each of eighty routers must lose
+// few reads to it all, not some to each server; and it must use the hall again soon after it is back, without having sent
+// reads there to find out.
+func TestFleetLosesAHallOnce(t *testing.T) {
+	const groups, wait = 18, 250 * ms
+	lost, probes, back := 0, 0, 0
+	rigs := fleet(t, 80, func(s *Settings) { s.ProbeReports, s.Behind = true, BehindRefuse })
+	for _, r := range rigs {
+		e := Event{Kind: NodesFull}
+		for g := range uint32(groups) {
+			for i, zone := range []string{"a", "b", "c"} {
+				e.Nodes = append(e.Nodes, NodeEntry{Node: 10*g + uint32(i), Group: int64(g), Zone: zone, Primary: i == 0, Weight: 4})
+			}
+		}
+		r.step(e)
+		probing := map[uint32]bool{}
+		for at := range 800 { // 40 s, a read every 50 ms; dark from 10 s to 25 s
+			start := r.now
+			dark := at >= 200 && at < 500
+			id := fmt.Sprintf("x%d", at)
+			acts := r.step(Event{Kind: RequestIn, Request: id, Class: cAny, Tenant: -1, Group: int64(at % groups),
+				Deadline: r.now + second})
+			for _, a := range of(Send, acts) {
+				if a.Node%10 == 2 && dark {
+					lost++
+					r.now += wait
+					r.out(id, 0, a.Node, Refused, RoleUnknown, 0)
+					break
+				}
+				if a.Node%10 == 2 && at >= 700 {
+					back++
+				}
+				r.now += 20 * ms
+				r.out(id, 0, a.Node, Done, Replica, r.now)
+			}
+			r.step(Event{Kind: RequestGone, Request: id})
+			for _, a := range of(Probe, r.step(Event{Kind: Wakeup})) {
+				probing[a.Node] = true
+			}
+			for n := range probing {
+				probes++
+				o := Done
+				if dark {
+					o = Refused
+				}
+				r.step(Event{Kind: ProbeDone, Node: n, Outcome: o})
+			}
+			clear(probing)
+			r.now = max(r.now, start+50*ms)
+		}
+	}
+	if mean := float64(lost) / 80; mean > 10 {
+		t.Errorf("a router lost %.1f reads to the hall", mean)
+	}
+	if mean := float64(probes) / 80; mean > 12 {
+		t.Errorf("a router sent %.1f probes to the dark hall", mean)
+	}
+	if back < 80*100/6 {
+		t.Errorf("%d of %d reads in the hall ten seconds after its return", back, 80*100)
+	}
+}
--- /dev/null
+++ b/decide/hall/hall_test.go
@@ -0,0 +1,118 @@
+package hall
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const ms = Nanos(1e6)
+
+func lit(t interface {
+	Helper()
+	Fatal(...any)
+}) *Halls {
+	t.Helper()
+	h, err := New(Settings{Servers: 3, Pause: 300 * ms, MaxPause: 2400 * ms})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+func TestDarkAfterThreeSilentServers(t *testing.T) {
+	h := lit(t)
+	h.Silent("a", 1, 1000*ms, 1250*ms)
+	h.Silent("a", 2, 1100*ms, 1350*ms)
+	for range 5 {
+		h.Silent("a", 2, 1200*ms, 1450*ms) // the same server again is no further proof
+	}
+	if h.Dark("a", 900*ms) {
+		t.Error("dark after two servers")
+	}
+	h.Silent("a", 3, 1300*ms, 1550*ms)
+	for _, c := range []struct {
+		hall     string
+		answered Nanos
+		want     bool
+	}{{"a", 900 * ms, true}, {"a", 1000 * ms, true}, {"a", 1050 * ms, false}, {"b", 900 * ms, false}, {"", 0, false}} {
+		if got := h.Dark(c.hall, c.answered); got != c.want {
+			t.Errorf("hall %q, last answer at %d ms: dark %v", c.hall, c.answered/ms, got)
+		}
+	}
+}
+
+func TestAnswerLightsTheHall(t *testing.T) {
+	h := lit(t)
+	for i := range uint32(3) {
+		h.Silent("a", i, 1000*ms, 1250*ms)
+	}
+	h.Answered("a")
+	h.Silent("a", 7, 1300*ms, 1550*ms)
+	if h.Dark("a", 0) {
+		t.Error("dark with one silent server since the last answer")
+	}
+}
+
+func TestTriesArePaced(t *testing.T) {
+	h := lit(t)
+	for i := range uint32(3) {
+		h.Silent("a", i, 0, 250*ms)
+	}
+	var tries []Nanos
+	for now := 250 * ms; now < 10_000*ms; now += 10 * ms {
+		if h.Try("a", now) {
+			tries = append(tries, now/ms)
+		}
+	}
+	want := []Nanos{550, 850, 1450, 2650, 5050, 7450, 9850}
+	if len(tries) != len(want) {
+		t.Fatalf("tries at %v ms, want %v", tries, want)
+	}
+	for i := range want {
+		if tries[i] != want[i] {
+			t.Fatalf("tries at %v ms, want %v", tries, want)
+		}
+	}
+}
+
+func TestBadSettings(t *testing.T) {
+	for _, s := range []Settings{{}, {Servers: 1, Pause: 1, MaxPause: 1}, {Servers: 3}, {Servers: 3, Pause: 2, MaxPause: 1}} {
+		if _, err := New(s); err == nil {
+			t.Errorf("%+v was taken", s)
+		}
+	}
+}
+
+// Whatever happens: a hall is dark only for servers that have been silent since before its fall, never after an answer
+// with fewer than three silent servers behind it, and no more is remembered than the halls that fell silent.
+func TestRules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h, now := lit(t), Nanos(0)
+		silent := map[string]map[uint32]bool{"a": {}, "b": {}}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			now += Nanos(rapid.IntRange(0, 400).Draw(t, "ms")) * ms
+			hall := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "hall")
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0:
+				h.Answered(hall)
+				clear(silent[hall])
+			case 1:
+				h.Try(hall, now)
+			default:
+				server := uint32(rapid.IntRange(1, 5).Draw(t, "server"))
+				h.Silent(hall, server, now-250*ms, now)
+				silent[hall][server] = true
+			}
+			if h.Dark(hall, -1000*ms) != (len(silent[hall]) >= 3) {
+				t.Fatalf("%d silent servers, dark %v", len(silent[hall]), !(len(silent[hall]) >= 3))
+			}
+			if h.Dark(hall, now) {
+				t.Fatal("a server that answers now is called dark")
+			}
+			if h.Size() > 2 {
+				t.Fatalf("%d halls remembered", h.Size())
+			}
+		}
+	})
+}
