Spare a discovery that all routers share: few calls, spread, and each waited for in its turn

Checked by timing each call (two probes): some are turned away at once, some after 2 s in turn; whole lists that came after more than a second found our connection closed. Ruled out: that watches which wait hold the places (all routers failed alike).

At fault: the watcher's pauses, made for an agent that answers at no cost: 50 ms to 1 s, not spread, each repeat for the whole list, given up after 1 s. The change, where the settings say that discovery must be asked: pauses of 2 s to routers x 200 ms, spread from half to one and a half, watches of 4 s, 3 s of patience. Everywhere: spread pauses, and changes since the known version after a 5xx instead of everything.

Test: TestSharedServiceIsSpared.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -147,7 +148,7 @@
 	told, done := make(chan int64, 10), make(chan struct{})
 	go func() {
 		defer close(done)
-		NewWatcher(s.Addr("agent")).Run(ctx, func(l *List) { told <- l.Seq })
+		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(l *List) { told <- l.Seq })
 	}()
 	expect := func(seq int64) {
 		t.Helper()
@@ -172,7 +173,9 @@
 	expect(43)
 	// Nothing new: nobody is told, and the watch goes on.
 	play(watch(43), rest, scenario.HTTP("agent", `{"seq":43,"whole":false,"hosts":[]}`), watch(43), rest,
-		`send agent raw "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n"`)
+		`send agent raw "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"`)
+	// Too busy: the list is still known, and the changes since then are asked for. An unknown version is not.
+	play("wait agent", watch(43), rest, `send agent raw "HTTP/1.1 410 Gone\r\nContent-Length: 0\r\n\r\n"`)
 	play("wait agent", whole, rest, scenario.HTTP("agent", `{"seq":44,"whole":true,"hosts":[`+one+`]}`))
 	expect(44)
 	play(watch(44), rest, scenario.HTTP("agent", `{"seq":45,"whole":true,"hosts":[{}]}`))
@@ -195,7 +198,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		NewWatcher(s.Addr("agent")).Run(ctx, func(*List) {})
+		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(*List) {})
 	}()
 	const rest = `
 		expect agent line "Host: {agent}"
@@ -210,3 +213,49 @@
 	stop()
 	<-done
 }
+
+// One service answers all routers in turn: eighty that were all turned away must not come back together, nor, once their
+// pauses have grown, more than five a second; and an answer that took its turn must still be waited for.
+func TestSharedServiceIsSpared(t *testing.T) {
+	const routers = 80
+	var early, late int
+	for range routers {
+		w := NewWatcher("", routers)
+		at, pause := time.Duration(0), w.first
+		for at < 200*time.Second {
+			at += spread(pause)
+			pause = min(2*pause, w.most)
+			switch {
+			case at < time.Second:
+				early++
+			case at > 100*time.Second && at < 200*time.Second:
+				late++
+			}
+		}
+	}
+	if early > routers {
+		t.Errorf("%d repeats in the first second", early)
+	}
+	if rate := float64(late) / 100; rate < 2 || rate > 7 {
+		t.Errorf("%.1f calls a second in the end", rate)
+	}
+	s := scenario.New(t, "agent")
+	ctx, stop := context.WithCancel(context.Background())
+	told, done := make(chan int64, 1), make(chan struct{})
+	go func() {
+		defer close(done)
+		NewWatcher(s.Addr("agent"), routers).Run(ctx, func(l *List) { told <- l.Seq })
+	}()
+	s.Play(`wait agent
+		expect agent line "GET /v1/endpoints HTTP/1.1"
+		expect agent line "Host: {agent}"
+		expect agent line "Accept: application/json"
+		expect agent line ""`)
+	time.Sleep(1500 * time.Millisecond) // longer than an agent of one's own may be silent
+	s.Play(scenario.HTTP("agent", `{"seq":41,"whole":true,"hosts":[]}`))
+	if got := <-told; got != 41 {
+		t.Errorf("told %d", got)
+	}
+	stop()
+	<-done
+}
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -13,18 +15,38 @@
 )
 
 const (
-	// A watch is short, as asking again costs nothing and a connection that has
-	// fallen silent shows only when the wait is over.
+	// A watch is short, as asking an agent again costs nothing and a connection
+	// that has fallen silent shows only when the wait is over.
 	watchFor   = time.Second
 	silence    = time.Second // beyond what was asked for, an agent that says nothing is given up
 	dialFor    = time.Second
 	leastPause = 50 * time.Millisecond
 	mostPause  = time.Second
 	path       = "/v1/endpoints"
+
+	// Where one service of fixed capacity answers all routers, calls wait there in
+	// turn: who hangs up early has had it work for nothing. All routers together
+	// ask it no oftener than once in eachCall when their pauses have grown.
+	turn        = 3 * time.Second // what it says nothing beyond a wait for
+	sharedWatch = 4 * time.Second // its news counts as told 2 s after a wait is over
+	eachCall    = 200 * time.Millisecond
+	pauseSteps  = 8 // the first pause is such a part of the longest, where that is more
 )
 
+// statusError is an answer that came whole and is no list.
+type statusError struct {
+	status int
+	target string
+}
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d for %s", e.status, e.target) }
+
 // Watcher follows the list at one agent at a time.
 type Watcher struct {
+	// How long a watch is, and what is waited for beyond it; the pause after an
+	// error, and what it grows to.
+	watchFor, silence, first, most time.Duration
+
 	mu    sync.Mutex
 	agent string
 	cut   context.CancelFunc // ends what is under way at the agent
@@ -36,8 +58,17 @@
 	read  *bufio.Reader
 }
 
-// NewWatcher returns a watcher of the agent at an address.
-func NewWatcher(agent string) *Watcher { return &Watcher{agent: agent} }
+// NewWatcher returns a watcher of the agent at an address. Where routers is not
+// 0, so many share one service behind their agents, which each call burdens.
+func NewWatcher(agent string, routers int) *Watcher {
+	w := &Watcher{agent: agent, watchFor: watchFor, silence: silence, first: leastPause, most: mostPause}
+	if routers > 0 {
+		w.watchFor, w.silence = sharedWatch, turn
+		w.most = max(mostPause, time.Duration(routers)*eachCall)
+		w.first = max(leastPause, (w.most-mostPause)/pauseSteps)
+	}
+	return w
+}
 
 // Move turns the watcher to the agent at another address: what is under way at
 // the old one ends, and the new one is asked for the whole list at once.
@@ -71,36 +102,39 @@
 func (w *Watcher) follow(ctx context.Context, agent string, told func(*List)) {
 	defer func() { w.hangUp() }()
 	w.known = false
-	pause := leastPause
+	pause := w.first
 	for ctx.Err() == nil {
 		l, err := w.next(ctx, agent)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
-			pause = leastPause
+			pause = w.first
 			if l.Whole || len(l.Hosts) > 0 {
 				told(l)
 			}
 			continue
 		}
+		// A service that is too busy to answer leaves the list as it is: the changes
+		// since then are less work for it than all.
+		var busy statusError
+		w.known = w.known && errors.As(err, &busy) && busy.status >= 500
 		w.hangUp()
-		w.known = false
 		slog.Warn("discovery", "agent", agent, "err", err)
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(spread(pause)):
 		}
-		pause = min(2*pause, mostPause)
+		pause = min(2*pause, w.most)
 	}
 }
 
 // next asks for the whole list, or watches for what comes after it.
 func (w *Watcher) next(ctx context.Context, agent string) (*List, error) {
-	target, wait := path, silence
+	target, wait := path, w.silence
 	if w.known {
-		target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, w.seq, watchFor.Milliseconds())
-		wait += watchFor
+		target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, w.seq, w.watchFor.Milliseconds())
+		wait += w.watchFor
 	}
 	body, err := w.get(ctx, agent, target, wait)
 	if err != nil {
@@ -145,11 +179,15 @@
 		w.hangUp()
 	}
 	if status != 200 {
-		return nil, fmt.Errorf("status %d for %s", status, target)
+		return nil, statusError{status, target}
 	}
 	return body, nil
 }
 
+// spread draws a span from half to one and a half: routers that started together
+// must not ask together.
+func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+
 func (w *Watcher) hangUp() {
 	if w.conn != nil {
 		w.conn.Close()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,7 +67,7 @@
 	}
 	unread := conf.Limits.MemoryMB << 20 / readShare // on either side
 	r := &Router{conf: conf, dir: discovery.NewDirectory(), budget: budget.New(conf.Limits.Sockets),
-		reading: ring.NewQuota(unread), clock: newClock(), watch: discovery.NewWatcher(conf.Discovery),
+		reading: ring.NewQuota(unread), clock: newClock(), watch: discovery.NewWatcher(conf.Discovery, sharing(conf)),
 		clients: map[*client]struct{}{}, patience: usualPatience,
 		accepted: func() <-chan time.Time { return time.After(acceptAfter) }}
 	r.pool = backend.NewPool(backend.Options{Directory: r.dir, Budget: r.budget,
@@ -299,3 +299,12 @@
 
 // at is the time of a point of the clock, with its monotonic reading.
 func (c clock) at(t balance.Nanos) time.Time { return c.start.Add(time.Duration(t - c.unix)) }
+
+// sharing is how many routers burden one discovery with what they ask: none where
+// it tells changes by itself.
+func sharing(conf *config.Config) int {
+	if conf.Settings.Balance.Subscribe {
+		return conf.Settings.Balance.Instances
+	}
+	return 0
+}
