--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,7 +7,6 @@
 
 import (
 	"cmp"
-	"errors"
 	"fmt"
 	"math"
 	"slices"
@@ -177,26 +176,6 @@
 	return b, err
 }
 
-func validate(s *Settings) error {
-	var errs []error
-	check := func(ok bool, field string) {
-		if !ok {
-			errs = append(errs, fmt.Errorf("%s: missing or out of range", field))
-		}
-	}
-	check(len(s.Classes) > 0 && s.Granularity > 0, "Classes, Granularity")
-	check(min(s.Instances, s.MaxAttempts, s.MaxHeld) > 0, "Instances, MaxAttempts, MaxHeld")
-	check(s.ColdShare >= 0 && s.ColdShare <= 1, "ColdShare")
-	check(min(s.RampTime, s.OverloadFor, s.MaxRetryAfter) >= 0, "RampTime, OverloadFor, MaxRetryAfter")
-	for i := range s.Classes {
-		c, name := &s.Classes[i], fmt.Sprintf("Classes[%d].", i)
-		check(min(c.Aim, c.Deadline) > 0, name+"Aim, Deadline")
-		check(min(c.Worth, c.LateWorth) >= 0, name+"Worth, LateWorth")
-		check(c.Read != Bounded || c.Bound > 0, name+"Bound")
-	}
-	return errors.Join(errs...)
-}
-
 // Step takes a batch's events and returns what to do now. A clock earlier than the last counts as the last.
 func (b *Balancer) Step(now Nanos, events []Event) []Action {
 	b.now = max(b.now, now)
@@ -216,8 +195,8 @@
 
 func (b *Balancer) act(a Action) { b.acts = append(b.acts, a) }
 
-func (b *Balancer) log(format string, args ...any) {
-	b.act(Action{Kind: Log, Text: fmt.Sprintf(format, args...)})
+func (b *Balancer) log(why Reason, n *node, format string, args ...any) {
+	b.act(Action{Kind: Log, Why: why, Node: n.id, Text: fmt.Sprintf(format, args...)})
 }
 
 // draw is seeded, from 0 to 1: the top bits of a 64-bit linear congruence, short enough to port.
@@ -345,11 +324,11 @@
 	switch {
 	case role == Primary && n.state == Ready && (g.primary == nil || n.pos >= g.primaryPos):
 		if g.primary != n {
-			b.log("group %d: node %d is primary", g.id, n.id)
+			b.log(Named, n, "group %d: node %d is primary", g.id, n.id)
 		}
 		g.primary, g.primaryPos = n, max(g.primaryPos, pos)
 	case role == Replica && g.primary == n:
-		b.log("group %d: node %d is primary no more", g.id, n.id)
+		b.log(Denied, n, "group %d: node %d is primary no more", g.id, n.id)
 		g.primary = nil
 	}
 }
@@ -377,7 +356,7 @@
 	case e.Outcome != Skipped && b.mayRepeat(r, nil) && b.now < b.lastStart(r) && (!a.ran || !b.crowded(r.g)):
 		b.enqueue(r)
 	default:
-		b.giveUp(r)
+		b.giveUp(r, b.spent(r))
 	}
 }
 
@@ -449,7 +428,7 @@
 
 func (b *Balancer) clear(n *node) {
 	if n.suspect {
-		b.log("node %d answers again", n.id)
+		b.log(Recovered, n, "node %d answers again", n.id)
 	}
 	if n.down { // its process was gone: it is cold, though the list may tell that late or never
 		n.started = b.now
@@ -472,7 +451,7 @@
 
 func (b *Balancer) suspect(n *node, why string) {
 	if !n.suspect {
-		b.log("node %d suspect: %s", n.id, why)
+		b.log(Suspected, n, "node %d suspect: %s", n.id, why)
 	} else if b.now < n.trialAt {
 		return
 	}
@@ -508,7 +487,7 @@
 
 func (b *Balancer) request(e *Event) {
 	if e.Class < 0 || e.Class >= len(b.set.Classes) {
-		b.act(Action{Kind: Refuse, Request: e.Request})
+		b.act(Action{Kind: Refuse, Why: Unknown, Request: e.Request})
 		return
 	}
 	b.seq++
@@ -527,7 +506,7 @@
 	// Departure: many routers with one pending each fill a node, so limits can't hold the crowd back. There
 	// what is beyond is refused at once, and may come again.
 	if float64(b.set.Instances)*leastLimit > startLimit && b.crowded(g) {
-		b.giveUp(r)
+		b.giveUp(r, Crowd)
 	} else {
 		b.enqueue(r)
 	}
@@ -611,7 +590,7 @@
 	if last := b.lastStart(r); b.now < last {
 		b.act(Action{Kind: Timer, At: last, Tag: r.seq})
 	} else {
-		b.giveUp(r)
+		b.giveUp(r, b.held(r))
 	}
 }
 
@@ -626,17 +605,17 @@
 }
 
 // giveUp ends a request at once: refused with a time to come back where a repeat is harmless.
-func (b *Balancer) giveUp(r *request) {
+func (b *Balancer) giveUp(r *request, why Reason) {
 	c := &b.set.Classes[r.c]
 	ran := slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.ran })
 	if c.Effect == Safe || (c.Effect == Keyed && c.Scope == ScopeAll) || !ran {
-		a := Action{Kind: Refuse, Request: r.id}
+		a := Action{Kind: Refuse, Why: why, Request: r.id}
 		if b.set.RetryAfter {
 			a.Wait = min(c.Aim, b.set.MaxRetryAfter)
 		}
 		b.act(a)
 	} else {
-		b.act(Action{Kind: Fail, Request: r.id})
+		b.act(Action{Kind: Fail, Why: why, Request: r.id})
 	}
 	b.end(r)
 }
@@ -698,7 +677,7 @@
 			if b.mayRepeat(r, n) {
 				b.send(r, n)
 			} else { // the window has passed while it waited
-				b.giveUp(r)
+				b.giveUp(r, Spent)
 			}
 		}
 	}
@@ -724,7 +703,7 @@
 	r.attempts = append(r.attempts, a)
 	r.live++
 	n.coldWork += b.work[r.c]
-	b.act(Action{Kind: Send, Request: r.id, Node: n.id, Until: b.until(r, n)})
+	b.act(Action{Kind: Send, Why: b.sending(r, n), Request: r.id, Node: n.id, Until: b.until(r, n)})
 }
 
 // until is when an attempt is given up. Departure: where attempts were lately lost at nodes that answered
--- a/balance/interface.go
+++ b/balance/interface.go
@@ -214,9 +214,41 @@
 	Log                          // a line for the operators
 )
 
+// Reason says why an action was taken: for counts, logs and people. Nothing follows from it.
+type Reason int
+
+// The reasons.
+const (
+	Usual Reason = iota
+
+	// Of a send; the first that holds.
+	Finding // to whoever may be the primary, as none is known
+	Trial   // to a suspect: is it back?
+	Warming // to a node that is warming up
+
+	// Of a refusal or a failure.
+	Unknown     // the class is not in the settings
+	Crowd       // its group answers too late as it is
+	NoPrimary   // held to the end of its time: no primary was known
+	PrimaryAway // held: the primary was suspect, paused or dark
+	PrimaryFull // held: the primary was at its limit
+	NoReplica   // held: no member was usable
+	Full        // held: the members that were usable were at their limits, or too far behind
+	Spent       // an attempt failed, and no other was allowed
+	Late        // an attempt failed, and the time was over
+	Jammed      // an attempt failed in a crowd
+
+	// Of a line for the operators, about Node.
+	Suspected
+	Recovered
+	Named  // as primary
+	Denied // as primary
+)
+
 // Action is one decision.
 type Action struct {
 	Kind    ActionKind
+	Why     Reason
 	Request string
 	Attempt int
 	Node    uint32
--- a/cmd/lotusctl/main.go
+++ b/cmd/lotusctl/main.go
@@ -50,6 +50,9 @@
 			}},
 			{Name: "accounts", Usage: "what teams asked of a router and got", ArgsUsage: "SOCKET", OnUsageError: usage, Action: readAccounts,
 				Flags: []cli.Flag{&cli.BoolFlag{Name: "metrics", Usage: "in the text format that Prometheus reads"}}},
+			{Name: "fleet", Usage: "what the logs of many routers say of all of them, or of one request", ArgsUsage: "DIR", OnUsageError: usage, Action: showFleet,
+				Flags: []cli.Flag{&cli.DurationFlag{Name: "span", Value: 10 * time.Second, Usage: "one row over time"},
+					&cli.StringFlag{Name: "request", Usage: "print the way of the requests with this `ID` or key"}}},
 			{Name: "lab", Usage: "experiments on this machine", OnUsageError: usage, Commands: []*cli.Command{
 				{Name: "run", Usage: "run an experiment; fails unless all its checks hold", ArgsUsage: "FILE.jsonnet", OnUsageError: usage,
 					Flags: []cli.Flag{seed, out, router}, Action: func(ctx context.Context, c *cli.Command) error {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -16,6 +16,7 @@
 	"lotushook/internal/budget"
 	"lotushook/internal/pgwire"
 	"lotushook/internal/ring"
+	"lotushook/internal/tally"
 )
 
 // MostAnswer is the longest message taken from a data server. Values are said to
@@ -84,7 +85,9 @@
 func (c *conn) run(first *Attempt) {
 	defer c.end()
 	defer c.in.Free()
-	if res := c.connect(first); res.Outcome != balance.Done {
+	res := c.connect(first)
+	c.pool.Tally.Add(dialled(res.Outcome))
+	if res.Outcome != balance.Done {
 		c.close()
 		first.finish(res)
 		return
@@ -113,6 +116,19 @@
 	}
 }
 
+// dialled is how connect's outcome counts.
+func dialled(o balance.Outcome) tally.Counter {
+	switch o {
+	case balance.Done:
+		return tally.Up
+	case balance.Busy:
+		return tally.TooMany
+	case notSent:
+		return tally.NoSocket
+	}
+	return tally.Unheard
+}
+
 // connect dials and starts a session: Done, or why not.
 func (c *conn) connect(a *Attempt) Result {
 	ctx, stop := context.WithTimeout(a.ctx, c.pool.ConnectTimeout)
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -13,6 +13,7 @@
 	"lotushook/internal/budget"
 	"lotushook/internal/invariant"
 	"lotushook/internal/ring"
+	"lotushook/internal/tally"
 )
 
 // Directory tells where a node listens, and whether it may get anything new.
@@ -30,6 +31,7 @@
 	Stall          time.Duration // an answer that has begun must go on within this
 	Settle         time.Duration // a connection rests so long after an answer: what follows unasked is seen by then
 	Short          func()        // told when the system has no descriptor left; nil: nobody
+	Tally          *tally.Tally  // counts dials; nil: nobody does
 	Crossing       time.Duration // so soon after its query, the same answer again is a second copy that crossed it
 }
 
@@ -174,21 +176,27 @@
 	return true
 }
 
-// Idle is the number of idle connections.
-func (p *Pool) Idle() int {
+// Open is the number of connections, and how many of them are idle.
+func (p *Pool) Open() (all, idle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := 0
 	for _, list := range p.idle {
-		n += len(list)
+		idle += len(list)
 	}
-	return n
+	return len(p.all), idle
+}
+
+// Idle is the number of idle connections.
+func (p *Pool) Idle() int {
+	_, idle := p.Open()
+	return idle
 }
 
 // open starts a new connection and gives it its first attempt.
 func (p *Pool) open(a *Attempt, dial string) {
 	if !p.Budget.Dial() && !(p.EvictIdle() && p.Budget.Dial()) {
 		slog.Warn("no descriptor free for a data server", "node", a.node)
+		p.Tally.Add(tally.NoSocket)
 		a.finish(Result{Outcome: notSent})
 		return
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"os"
 	"strconv"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -98,7 +99,7 @@
 		check("seed", fmt.Errorf("not 64 bits in hex: %q", f.Seed))
 	}
 	if len(f.Known) > 0 && string(f.Known) != "null" {
-		c.Known, err = discovery.Parse(f.Known)
+		c.Known, err = discovery.Parse(f.Known, time.Now())
 		check("known", err)
 	}
 	c.Settings, err = settings.Parse(f.Settings)
--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -14,6 +14,8 @@
 	"lotushook/internal/scenario"
 )
 
+var noon = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
+
 const one = `{"host":"s-1","dial":"127.0.0.1:1","site":"a","class":"m","block":3,"health":"SERVING","share":1.5,"born_ms":7}`
 
 // A list that is malformed anywhere is refused whole, so that the old one stays.
@@ -32,8 +34,15 @@
 		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, ":1\"", "\"", 1) + `]}`, -1},
 		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":-7`, 1) + `]}`, -1},
 		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "s-1", "", 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":`+ahead(time.Minute), 1) + `]}`, 1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":`+ahead(2*time.Hour), 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":9223372036854775807`, 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, `"born_ms":7`, `"born_ms":1e30`, 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "1.5", "-1", 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "1.5", "1e9", 1) + `]}`, -1},
+		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "1.5", "1e999", 1) + `]}`, -1},
 	} {
-		l, err := Parse([]byte(c.text))
+		l, err := Parse([]byte(c.text), noon)
 		got := -1
 		if err == nil {
 			got = len(l.Hosts)
@@ -44,11 +53,58 @@
 	}
 }
 
+func ahead(d time.Duration) string { return fmt.Sprint(noon.Add(d).UnixMilli()) }
+
+// An agent that has lost its list must not take every server away.
+func TestEmptyList(t *testing.T) {
+	d, empty := NewDirectory(), &List{Seq: 2, Whole: true}
+	if _, err := d.Take(empty); err != nil {
+		t.Errorf("before anything is listed: %v", err)
+	}
+	host := Host{Host: "s-1", Dial: "127.0.0.1:1", Block: 3, Health: "SERVING"}
+	id := d.Apply(&List{Whole: true, Hosts: []Host{host}}).Nodes[0].Node
+	if _, err := d.Take(empty); err == nil {
+		t.Error("an empty list was taken")
+	}
+	if _, ready := d.Address(id); !ready || !d.Serves(3) {
+		t.Error("the old list was not kept")
+	}
+	host.Health = "DELETED" // what is withdrawn by name is gone, also where it is the last
+	if _, err := d.Take(&List{Hosts: []Host{host}}); err != nil || d.Serves(3) {
+		t.Errorf("withdrawn by name: %v", err)
+	}
+}
+
+func FuzzList(f *testing.F) {
+	f.Add(`{"seq":41,"whole":true,"hosts":[` + one + `]}`)
+	f.Add(`{"seq":1,"whole":false,"hosts":[{"host":"s-1","health":"DELETED"}]}`)
+	f.Add(`{"seq":1,"whole":true,"hosts":[{"host":"a","dial":"1.2.3.4:5","health":"DRAINING","share":1e308,"born_ms":-1}]}`)
+	f.Fuzz(func(t *testing.T, text string) {
+		l, err := Parse([]byte(text), noon)
+		if err != nil {
+			if strings.Contains(err.Error(), "\n") {
+				t.Fatalf("more than a line: %q", err)
+			}
+			return
+		}
+		d := NewDirectory()
+		e, err := d.Take(l)
+		if err != nil {
+			t.Fatalf("a first list was not taken: %v", err)
+		}
+		for _, n := range e.Nodes {
+			if n.Started < 0 || n.Weight < 0 || n.Started > noon.Add(mostAhead).UnixNano() {
+				t.Fatalf("taken: %+v", n)
+			}
+		}
+	})
+}
+
 func TestDirectory(t *testing.T) {
 	d := NewDirectory()
 	apply := func(text string) balance.Event {
 		t.Helper()
-		l, err := Parse([]byte(text))
+		l, err := Parse([]byte(text), noon)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -134,7 +190,7 @@
 		if err == nil && len(body) > len(in) {
 			t.Fatalf("%d bytes of body from %d", len(body), len(in))
 		}
-		if l, err := Parse(body); err == nil {
+		if l, err := Parse(body, noon); err == nil {
 			NewDirectory().Apply(l)
 		}
 	})
@@ -148,7 +204,7 @@
 	told, done := make(chan int64, 10), make(chan struct{})
 	go func() {
 		defer close(done)
-		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(l *List) { told <- l.Seq })
+		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(l *List) error { told <- l.Seq; return nil })
 	}()
 	expect := func(seq int64) {
 		t.Helper()
@@ -198,7 +254,7 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(*List) {})
+		NewWatcher(s.Addr("agent"), 0).Run(ctx, func(*List) error { return nil })
 	}()
 	const rest = `
 		expect agent line "Host: {agent}"
@@ -249,7 +305,7 @@
 	told, done := make(chan int64, 1), make(chan struct{})
 	go func() {
 		defer close(done)
-		NewWatcher(s.Addr("agent"), routers).Run(ctx, func(l *List) { told <- l.Seq })
+		NewWatcher(s.Addr("agent"), routers).Run(ctx, func(l *List) error { told <- l.Seq; return nil })
 	}()
 	s.Play(`wait agent
 		expect agent line "GET /v1/endpoints HTTP/1.1"
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -8,6 +8,7 @@
 	"hash/fnv"
 	"net/netip"
 	"sync"
+	"time"
 
 	jsoniter "github.com/json-iterator/go"
 
@@ -37,9 +38,16 @@
 var states = map[string]balance.Lifecycle{
 	"SERVING": balance.Ready, "DRAINING": balance.Draining, "DELETED": balance.Gone}
 
+const (
+	// A server that started in the future would stay cold until then. All machines
+	// read one clock, but a router's own may be set wrong.
+	mostAhead = time.Hour
+	mostShare = 1e4 // a server's size against the usual one: beyond it a slip, and every other would get nothing
+)
+
 // Parse reads a list and refuses one that is malformed anywhere, so that the
 // old one is kept.
-func Parse(raw []byte) (*List, error) {
+func Parse(raw []byte, now time.Time) (*List, error) {
 	var l struct {
 		Seq   *int64  `json:"seq"`
 		Whole *bool   `json:"whole"`
@@ -64,8 +72,11 @@
 		if _, err := netip.ParseAddrPort(h.Dial); err != nil && state != balance.Gone {
 			return nil, fmt.Errorf("list: host %s: bad address %q", h.Host, h.Dial)
 		}
-		if h.BornMS < 0 || h.Share < 0 {
-			return nil, fmt.Errorf("list: host %s: negative born_ms or share", h.Host)
+		if h.BornMS < 0 || h.BornMS > now.Add(mostAhead).UnixMilli() {
+			return nil, fmt.Errorf("list: host %s: born_ms %d is negative or in the future", h.Host, h.BornMS)
+		}
+		if h.Share < 0 || h.Share > mostShare {
+			return nil, fmt.Errorf("list: host %s: share %v is not between 0 and %v", h.Host, h.Share, float64(mostShare))
 		}
 	}
 	return &List{Seq: *l.Seq, Whole: *l.Whole, Hosts: *l.Hosts}, nil
@@ -97,6 +108,28 @@
 	return &Directory{nodes: map[uint32]place{}, ids: map[string]uint32{}}
 }
 
+// errEmpty is an agent that has lost its list: servers leave one after the other, and never all.
+var errEmpty = errors.New("list: whole and empty, though hosts were listed: the old one is kept")
+
+// Take is Apply of a list from discovery. One that would take away all that is listed changes nothing.
+func (d *Directory) Take(l *List) (balance.Event, error) {
+	if l.Whole && len(l.Hosts) == 0 && d.listed() {
+		return balance.Event{}, errEmpty
+	}
+	return d.Apply(l), nil
+}
+
+func (d *Directory) listed() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, p := range d.nodes {
+		if !p.gone {
+			return true
+		}
+	}
+	return false
+}
+
 // Apply takes a list in and returns it as an event for the decisions.
 func (d *Directory) Apply(l *List) balance.Event {
 	d.mu.Lock()
@@ -181,6 +214,13 @@
 	return id
 }
 
+// Host is the name of a node; none of one that was never listed, or is long gone.
+func (d *Directory) Host(node uint32) string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.nodes[node].host
+}
+
 // Address is where to dial a node, and whether it may get anything new: it is
 // listed, and neither draining nor gone.
 func (d *Directory) Address(node uint32) (dial string, ready bool) {
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lotushook/internal/ring"
+	"lotushook/internal/tally"
 )
 
 const (
@@ -48,6 +49,8 @@
 	// error, and what it grows to.
 	watchFor, silence, first, most time.Duration
 
+	Tally *tally.Tally // counts calls; nil: nobody does
+
 	mu    sync.Mutex
 	agent string
 	cut   context.CancelFunc // ends what is under way at the agent
@@ -85,7 +88,8 @@
 }
 
 // Run hands each list to told until the context ends, at one agent after another.
-func (w *Watcher) Run(ctx context.Context, told func(*List)) {
+// A list that told does not take counts as malformed.
+func (w *Watcher) Run(ctx context.Context, told func(*List) error) {
 	for ctx.Err() == nil {
 		w.mu.Lock()
 		here, cut := context.WithCancel(ctx)
@@ -100,7 +104,7 @@
 // follow hands each list of one agent to told until the context ends. After an
 // error the whole list is asked for again, with short pauses; a malformed list
 // counts as one.
-func (w *Watcher) follow(ctx context.Context, agent string, told func(*List)) {
+func (w *Watcher) follow(ctx context.Context, agent string, told func(*List) error) {
 	defer func() { w.hangUp() }()
 	w.known = false
 	pause := w.first
@@ -109,11 +113,12 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil && (l.Whole || len(l.Hosts) > 0) {
+			err = told(l)
+		}
 		if err == nil {
+			w.Tally.Add(tally.Lists)
 			pause = w.first
-			if l.Whole || len(l.Hosts) > 0 {
-				told(l)
-			}
 			continue
 		}
 		// A service that is too busy to answer leaves the list as it is: the changes
@@ -121,6 +126,7 @@
 		var busy statusError
 		w.known = w.known && errors.As(err, &busy) && busy.status >= 500
 		w.hangUp()
+		w.Tally.Add(tally.NoList)
 		slog.Warn("discovery", "agent", agent, "err", err)
 		select {
 		case <-ctx.Done():
@@ -141,7 +147,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l, err := Parse(body)
+	l, err := Parse(body, time.Now())
 	if err != nil {
 		return nil, err
 	}
--- a/internal/router/owner.go
+++ b/internal/router/owner.go
@@ -8,6 +8,7 @@
 
 	"lotushook/balance"
 	"lotushook/internal/invariant"
+	"lotushook/internal/tally"
 )
 
 const (
@@ -111,11 +112,14 @@
 	case balance.AttemptDone:
 		e.req.told++
 	case balance.RequestIn:
+		o.router.tally.Add(tally.Asked)
 		if o.requests[e.Request] != nil {
+			o.router.tally.Add(tally.TwiceAlive)
 			e.req.hand(balance.Action{Kind: balance.Fail}) // the module ignores a live id
 			return
 		}
 		if len(o.requests) >= o.router.conf.Settings.Balance.MaxHeld || o.held+e.req.Size() > o.room {
+			o.router.tally.Add(tally.NoRoom)
 			e.req.hand(balance.Action{Kind: balance.Refuse, Wait: o.comeAgain(e.Class)})
 			return
 		}
@@ -214,12 +218,18 @@
 
 // act hands one action on.
 func (o *owner) act(a balance.Action) {
+	o.router.tally.Act(&a)
 	switch a.Kind {
 	case balance.Send, balance.Refuse, balance.Fail, balance.Cancel:
 		r := o.requests[a.Request]
 		if invariant.Check(r != nil, "the module acts for a request that is here", "kind", a.Kind) {
 			if a.Kind == balance.Send {
 				invariant.Check(r.sent == r.told, "one attempt of a request at a time")
+				if r.sent == 0 {
+					o.router.tally.Add(tally.First)
+				} else {
+					o.router.tally.Add(tally.Repeated)
+				}
 				r.sent, r.node = r.sent+1, a.Node
 				if o.terms != nil {
 					o.terms.out[a.Node]++
@@ -230,6 +240,7 @@
 	case balance.Timer:
 		heap.Push(&o.timers, timer{a.At, a.Tag})
 	case balance.Probe:
+		o.router.tally.Add(tally.Probes)
 		go o.router.probe(a.Node)
 	case balance.Follow: // discovery is always followed
 	case balance.Log:
@@ -244,6 +255,7 @@
 	res, rep := r.pool.Probe(node, r.conf.Settings.ConnectTimeout)
 	e, held := balance.Event{Kind: balance.ProbeDone, Node: node, Outcome: res.Outcome}, -1
 	if res.Outcome == balance.Done {
+		r.tally.Add(tally.Probed)
 		e.Position = rep.Position * 1e6
 		if rep.HasRole {
 			e.Role = balance.Replica
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -10,6 +10,7 @@
 	"lotushook/internal/backend"
 	"lotushook/internal/invariant"
 	"lotushook/internal/pgwire"
+	"lotushook/internal/tally"
 )
 
 const (
@@ -35,6 +36,7 @@
 	came   balance.Nanos
 	end    contract.End // the task's, before it tells its end
 	ran    bool         // the task's: an attempt may have run
+	way    []step       // the task's: its attempts, where a line of it may be wanted
 
 	// The owner's: sends handed over, ends of attempts heard, and the last send's node.
 	sent, told int
@@ -75,6 +77,18 @@
 	}
 	r.router.owner.events <- in
 
+	// How it ends, for the counts and the line that tells its way.
+	outcome, why := departed, balance.Usual
+	defer func() {
+		switch outcome {
+		case served:
+			r.router.tally.Add(tally.Served)
+		case departed:
+			r.router.tally.Add(tally.Gone)
+		}
+		r.router.tracer.write(r, outcome, why)
+	}()
+
 	overdue := time.NewTimer(time.Until(r.router.clock.at(r.deadline).Add(silence)))
 	defer overdue.Stop()
 	attempts := 0
@@ -93,13 +107,17 @@
 			default:
 				invariant.Check(false, "the module ends each request by its deadline")
 				r.tell(balance.Event{Kind: balance.RequestGone})
+				r.router.tally.Add(tally.Unanswered)
+				outcome = broken
 				return failed("no answer in time")
 			}
 		}
 		switch act.Kind {
 		case balance.Refuse:
+			outcome, why = turned, act.Why
 			return refused(act.Wait, r.why)
 		case balance.Fail:
+			outcome, why = broken, act.Why
 			return failed("failed")
 		case balance.Send:
 		default:
@@ -107,8 +125,10 @@
 		}
 
 		// One attempt, and never another while it is open.
+		began := r.router.clock.now()
 		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Until), r.word)
 		res, here := r.await(a, act)
+		r.note(act, began, &res)
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
 			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
 		attempts++
@@ -116,6 +136,7 @@
 		r.tell(done)
 		r.end.Served, r.end.Gone = res.Outcome == balance.Done, !here
 		if res.Outcome == balance.Done && (here || r.client.fatal) {
+			outcome = served
 			return pgwire.AppendReady(res.Answer)
 		}
 		if !here {
@@ -124,6 +145,25 @@
 	}
 }
 
+// note counts an attempt that has ended, and keeps it for the line of its request.
+func (r *request) note(act balance.Action, began balance.Nanos, res *backend.Result) {
+	if r.router.tally == nil && !r.router.tracer.wanted() {
+		return
+	}
+	host := r.router.dir.Host(act.Node)
+	r.router.tally.End(host, res.Outcome)
+	switch {
+	case res.Outcome != balance.Miss:
+	case r.router.conf.Settings.IsWrite(r.Class):
+		r.router.tally.Add(tally.NotPrimary)
+	default:
+		r.router.tally.Add(tally.Behind)
+	}
+	if r.router.tracer.wanted() {
+		r.way = append(r.way, step{host, act.Why, res.Outcome, began, r.router.clock.now()})
+	}
+}
+
 // await waits for an attempt's end: its answer, its time, the module's cancel,
 // or the client's leaving, after which here is false.
 func (r *request) await(a *backend.Attempt, act balance.Action) (res backend.Result, here bool) {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -21,6 +21,7 @@
 	"lotushook/internal/invariant"
 	"lotushook/internal/ring"
 	"lotushook/internal/setup"
+	"lotushook/internal/tally"
 )
 
 const (
@@ -44,6 +45,9 @@
 	owner  *owner
 	clock  clock
 	watch  *discovery.Watcher
+	tally  *tally.Tally // nil: nothing is counted
+	log    *setup.Log   // what the totals follow; nil: there are none
+	tracer tracer
 
 	reading *ring.Quota // for what clients have sent of messages that are not whole yet
 	door    *door       // decides which clients are taken; nil: all are, as far as descriptors go
@@ -70,7 +74,12 @@
 		reading: ring.NewQuota(unread), clock: newClock(), watch: discovery.NewWatcher(conf.Discovery, sharing(conf)),
 		clients: map[*client]struct{}{}, patience: usualPatience,
 		accepted: func() <-chan time.Time { return time.After(acceptAfter) }}
-	r.pool = backend.NewPool(backend.Options{Directory: r.dir, Budget: r.budget,
+	if r.log = own.Log; r.log != nil && r.log.TotalsMS > 0 {
+		r.tally = tally.New()
+	}
+	r.tracer.set.Store(own.Log)
+	r.watch.Tally = r.tally
+	r.pool = backend.NewPool(backend.Options{Directory: r.dir, Budget: r.budget, Tally: r.tally,
 		ConnectTimeout: conf.Settings.ConnectTimeout, IdleClose: conf.Settings.IdleClose,
 		Reading: ring.NewQuota(unread), Stall: stall, Settle: settle, Crossing: crossing})
 	r.owner = newOwner(module, r)
@@ -110,8 +119,12 @@
 	parts.Go(func() { r.pool.Run(inner) })
 	parts.Go(func() { r.sweep(inner) })
 	parts.Go(func() {
-		r.watch.Run(inner, func(l *discovery.List) {
-			r.owner.events <- event{Event: r.dir.Apply(l)}
+		r.watch.Run(inner, func(l *discovery.List) error {
+			e, err := r.dir.Take(l)
+			if err == nil {
+				r.owner.events <- event{Event: e}
+			}
+			return err
 		})
 	})
 	slog.Info("serving", "name", r.conf.Name, "listen", ln.Addr().String())
@@ -124,6 +137,9 @@
 	if r.owner.terms != nil {
 		parts.Go(func() { r.owner.terms.run(inner) })
 	}
+	if r.tally != nil {
+		parts.Go(func() { r.totals(inner, time.Duration(r.log.TotalsMS)*time.Millisecond) })
+	}
 	failed := make(chan error, 1)
 	go func() { failed <- accept(ln) }()
 	var err error
@@ -140,6 +156,8 @@
 	r.drain()
 	stop()
 	parts.Wait()
+	r.total()
+	r.tracer.rest()
 	slog.Info("stopped", "requests", r.owner.count, "broken_invariants", invariant.Counts())
 	return err
 }
@@ -171,6 +189,7 @@
 			return err
 		}
 	}
+	r.tracer.set.Store(own.Log)
 	slog.Info("reloaded", "discovery", conf.Discovery)
 	r.watch.Move(conf.Discovery)
 	return nil
--- a/internal/router/terms.go
+++ b/internal/router/terms.go
@@ -11,6 +11,7 @@
 	"lotushook/decide/contract"
 	"lotushook/internal/accounts"
 	"lotushook/internal/setup"
+	"lotushook/internal/tally"
 )
 
 const (
@@ -126,6 +127,7 @@
 	}
 	if r.ground = v.Reason; !v.Reason.Taken() {
 		r.why = t.wording(team, r, v)
+		t.router.tally.Add(tally.Contract)
 		r.hand(balance.Action{Kind: balance.Refuse, Wait: v.Wait})
 		return false, false
 	}
@@ -142,6 +144,7 @@
 // refuse ends the wait of one that has no turn.
 func (t *terms) refuse(turn contract.Turn) {
 	if r := t.router.owner.requests[turn.ID]; r != nil {
+		t.router.tally.Add(tally.Contract)
 		r.ground, r.why = turn.Reason, t.wording(r.asked.Team, r, turn.Verdict)
 		r.hand(balance.Action{Kind: balance.Refuse, Wait: turn.Wait})
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -64,6 +64,12 @@
 	return nil
 }
 
+// IsWrite says whether a class of that name is one of writes.
+func (s *Settings) IsWrite(class string) bool {
+	i := s.Class(class)
+	return i >= 0 && s.Balance.Classes[i].Read == balance.Write
+}
+
 // Tenant is the index of a tenant in Balance.Tenants, -1 when there is none of that name.
 func (s *Settings) Tenant(name string) int { return index(s.tenants, name) }
 
--- a/internal/setup/setup.go
+++ b/internal/setup/setup.go
@@ -20,6 +20,35 @@
 	Admission *Admission `json:"admission,omitempty"` // a reload changes its limits, and can't switch it on or off
 	Contracts *Contracts `json:"contracts,omitempty"` // likewise
 	Accounts  *Accounts  `json:"accounts,omitempty"`  // needs contracts
+	Log       *Log       `json:"log,omitempty"`
+}
+
+// Log says what a router writes of its work, beside what happens to it.
+type Log struct {
+	TotalsMS  int64  `json:"totals_ms"`   // a line of totals so often, and one at the end; 0: none
+	Trace     string `json:"trace"`       // whose way is written: off, wrong (not served), all. Changes on SIGHUP
+	TracePerS int    `json:"trace_per_s"` // of those lines at most so many a second; the rest are counted. Changes on SIGHUP
+}
+
+// Whose way is written.
+const (
+	TraceOff   = "off"
+	TraceWrong = "wrong"
+	TraceAll   = "all"
+)
+
+func usualLog() *Log { return &Log{TotalsMS: 10000, Trace: TraceOff, TracePerS: 100} }
+
+func (l *Log) check() error {
+	switch {
+	case l.TotalsMS != 0 && (l.TotalsMS < 100 || l.TotalsMS > 3600e3):
+		return fmt.Errorf("totals_ms: %d is not 0 or between 100 and an hour", l.TotalsMS)
+	case l.Trace != TraceOff && l.Trace != TraceWrong && l.Trace != TraceAll:
+		return fmt.Errorf("trace: %q is not off, wrong or all", l.Trace)
+	case l.TracePerS < 1 || l.TracePerS > 1e6:
+		return fmt.Errorf("trace_per_s: %d is not between 1 and a million", l.TracePerS)
+	}
+	return nil
 }
 
 // Load reads and checks a file.
@@ -29,6 +58,7 @@
 		Admission jsoniter.RawMessage `json:"admission"`
 		Contracts jsoniter.RawMessage `json:"contracts"`
 		Accounts  jsoniter.RawMessage `json:"accounts"`
+		Log       jsoniter.RawMessage `json:"log"`
 	}
 	err := strict.File(path, &parts)
 	if err == nil { // again, over the defaults of the parts that are there
@@ -41,6 +71,9 @@
 		if parts.Accounts != nil {
 			s.Accounts = usualAccounts()
 		}
+		if parts.Log != nil {
+			s.Log = usualLog()
+		}
 		err = strict.File(path, s)
 	}
 	if err == nil {
@@ -71,6 +104,9 @@
 			part("accounts", errors.New("there are none without contracts"))
 		}
 	}
+	if s.Log != nil {
+		part("log", s.Log.check())
+	}
 	if len(errs) == 0 {
 		return nil
 	}
--- /dev/null
+++ b/internal/tally/tally.go
@@ -0,0 +1,187 @@
+// Package tally counts what a router does, for one line of totals a period. Nobody decides by it.
+package tally
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"lotushook/balance"
+)
+
+// Counter names what is counted one by one.
+type Counter int
+
+// The counters.
+const (
+	Asked      Counter = iota // requests that came
+	Served                    // answered by a data server
+	Gone                      // the client left before its answer
+	Unanswered                // the module was silent past the deadline: a fault of ours
+	NoRoom                    // refused by the router itself: too many requests held, or too many bytes
+	Contract                  // refused by a team's contract
+	TwiceAlive                // failed, as its id was that of an open request
+
+	First    // sends of a request's first attempt
+	Repeated // sends of a further one
+
+	NotPrimary // misses by reason: a write at a node that is none
+	Behind     // a read at a node that is too far behind
+
+	Probes // sent
+	Probed // answered
+
+	Up       // dials that came to a session
+	Unheard  // that did not come up
+	TooMany  // that were turned away: the data server holds too many connections
+	NoSocket // for which no descriptor was free
+	Lists    // calls of discovery that brought a list or changes
+	NoList   // that failed
+
+	counters
+)
+
+var names = [counters]string{"asked", "served", "gone", "unanswered", "no_room", "contract", "twice_alive",
+	"first", "repeated", "not_primary", "behind", "probes", "probed",
+	"dial_up", "dial_unheard", "dial_too_many", "dial_no_socket", "lists", "no_list"}
+
+// outcomes are the ends of attempts, as balance counts them from 1.
+var outcomes = [...]string{"", "done", "failed", "busy", "timed_out", "unconnected", "reset", "canceled", "skipped", "miss"}
+
+const actions = int(balance.Log) + 1
+
+// Outcome is an outcome's name in logs.
+func Outcome(o balance.Outcome) string { return outcomes[o] }
+
+// mostServers is how many data servers are counted one by one in a period; the work of the others is counted
+// under the name "others".
+const mostServers = 512
+
+// Tally is one router's counts. A nil one counts nothing. It is safe for concurrent use.
+type Tally struct {
+	counts [counters]atomic.Int64
+	why    [actions][balance.Reasons]atomic.Int64 // the module's actions by kind and reason
+	ends   [len(outcomes)]atomic.Int64            // of attempts
+
+	mu      sync.Mutex
+	servers map[string]*Server
+}
+
+// Server is what became of the attempts at one data server in a period.
+type Server struct{ Done, Miss, Busy, Failed, Lost, Unsent int64 }
+
+// New returns a tally of nothing.
+func New() *Tally { return &Tally{servers: map[string]*Server{}} }
+
+// Add counts one.
+func (t *Tally) Add(c Counter) {
+	if t != nil {
+		t.counts[c].Add(1)
+	}
+}
+
+// Act counts one action of the module.
+func (t *Tally) Act(a *balance.Action) {
+	if t != nil {
+		t.why[a.Kind][a.Why].Add(1)
+	}
+}
+
+// End counts how an attempt at a data server ended.
+func (t *Tally) End(host string, o balance.Outcome) {
+	if t == nil {
+		return
+	}
+	t.ends[o].Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.servers[host]
+	if s == nil {
+		if len(t.servers) >= mostServers {
+			host = "others"
+		}
+		if s = t.servers[host]; s == nil {
+			s = &Server{}
+			t.servers[host] = s
+		}
+	}
+	switch o {
+	case balance.Done:
+		s.Done++
+	case balance.Miss:
+		s.Miss++
+	case balance.Busy:
+		s.Busy++
+	case balance.Failed:
+		s.Failed++
+	case balance.TimedOut, balance.Reset, balance.Canceled:
+		s.Lost++
+	default:
+		s.Unsent++
+	}
+}
+
+// Take returns what was counted since the last Take, without what is zero, and counts on from nothing.
+func (t *Tally) Take() []slog.Attr {
+	var out []slog.Attr
+	put := func(name string, c *atomic.Int64) {
+		if n := c.Swap(0); n != 0 {
+			out = append(out, slog.Int64(name, n))
+		}
+	}
+	for i := range t.counts {
+		put(names[i], &t.counts[i])
+	}
+	for kind, prefix := range map[balance.ActionKind]string{balance.Send: "send", balance.Refuse: "refused", balance.Fail: "failed", balance.Log: "node"} {
+		for why := range t.why[kind] {
+			put(prefix+"_"+balance.Reason(why).String(), &t.why[kind][why])
+		}
+	}
+	for o := 1; o < len(outcomes); o++ {
+		put("end_"+outcomes[o], &t.ends[o])
+	}
+	slices.SortFunc(out, func(x, y slog.Attr) int { return strings.Compare(x.Key, y.Key) })
+	t.mu.Lock()
+	servers := t.servers
+	t.servers = map[string]*Server{}
+	t.mu.Unlock()
+	hosts := make([]string, 0, len(servers))
+	for host := range servers {
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	for _, host := range hosts {
+		out = append(out, slog.String(ServerPrefix+host, servers[host].String()))
+	}
+	return out
+}
+
+// ServerPrefix stands before a data server's name in a line of totals.
+const ServerPrefix = "at."
+
+// Add adds what became of other attempts.
+func (s *Server) Add(o Server) {
+	s.Done += o.Done
+	s.Miss += o.Miss
+	s.Busy += o.Busy
+	s.Failed += o.Failed
+	s.Lost += o.Lost
+	s.Unsent += o.Unsent
+}
+
+// String is the form in a line of totals.
+func (s Server) String() string {
+	return fmt.Sprintf("%d/%d/%d/%d/%d/%d", s.Done, s.Miss, s.Busy, s.Failed, s.Lost, s.Unsent)
+}
+
+// ParseServer reads what String wrote.
+func ParseServer(text string) (s Server, err error) {
+	n, err := fmt.Sscanf(text, "%d/%d/%d/%d/%d/%d", &s.Done, &s.Miss, &s.Busy, &s.Failed, &s.Lost, &s.Unsent)
+	if err != nil || s.String() != text {
+		return s, fmt.Errorf("tally: %q is no data server's totals (%d numbers)", text, n)
+	}
+	return s, nil
+}
