--- a/cmd/lotusctl/main_test.go
+++ b/cmd/lotusctl/main_test.go
@@ -153,3 +153,28 @@
 		}
 	}
 }
+
+func TestFleet(t *testing.T) {
+	logs := filepath.Dir(write(t, "n1.log",
+		"time=2026-12-01T10:00:01.000Z level=INFO msg=totals name=n1 asked=5 refused_crowd=2 served=3 at.s-1=3/0/0/0/1/0\n"+
+			`time=2026-12-01T10:00:02.000Z level=INFO msg=request id=ab key=k1 class=order cluster=4 came_ms=1796119202000 left_ms=500 end=refused why=no_primary took_ms=250 way="s-1:finding@0=miss/3"`+"\n"))
+	for _, c := range []struct {
+		args []string
+		code int
+		says []string
+	}{
+		{[]string{logs}, 0, []string{"1 routers, 1 data servers met", "refused_crowd", "s-1", "no_primary", "10:00:00"}},
+		{[]string{"--request", "k1", logs}, 0, []string{"n1  order ab cluster 4", "s-1:finding@0=miss/3"}},
+		{[]string{"--request", "zz", logs}, 1, []string{`no line of request "zz"`}},
+		{[]string{"--span", "0s", logs}, 1, []string{"span"}},
+		{[]string{t.TempDir()}, 1, []string{"no file *.log"}},
+		{nil, 1, []string{"one folder"}},
+	} {
+		out, errs, code := ctl(t, append([]string{"fleet"}, c.args...)...)
+		for _, want := range c.says {
+			if code != c.code || !strings.Contains(out+errs, want) {
+				t.Errorf("%v: code %d, no %q in %s%s", c.args, code, want, out, errs)
+			}
+		}
+	}
+}
--- a/test.sh
+++ b/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# The whole verdict: formatting, vet, the deploy file's build, and every test under the race detector, as
-# released and with the invariants of debug builds.
+# The whole verdict: formatting, vet, the deploy file's build, and every test. Where goroutines are, tests run under the
+# race detector, as released and with the invariants of debug builds; the decisions have neither (decide/pure_test.go).
 set -euo pipefail
 cd "$(dirname "$0")"
 unformatted=$(gofmt -l .)
@@ -16,5 +16,8 @@
 test -x bin/benchlink
 test -x bin/lotushook
 bin/lotusctl render --check deploy/*.jsonnet
-go test -race ./...
-go test -race -tags debug ./...
+pure=$(go list ./balance ./decide/...)
+rest=$(go list ./... | grep -vxF "$pure")
+go test $pure
+go test -race $rest
+go test -race -tags debug $rest
