--- a/balance/balance.go
+++ b/balance/balance.go
@@ -400,11 +400,14 @@
 		}
 		b.weigh(n, max(n.load, min(took/b.patience[c], 1)))
 		if late && n.lastAns <= a.sent {
+			if b.set.Probing { // on open connections a lost hall shows only by this
+				b.halls.Silent(n.zone, n.id, a.sent, b.now)
+			}
 			b.failed(n, Nanos(work))
 		}
 	}
 	if slices.Contains([]Outcome{Done, Miss, Busy, Failed}, e.Outcome) {
-		b.halls.Answered(n.zone)
+		b.halls.Answered(n.zone, b.now)
 		n.lastAns, n.metTill = b.now, b.now+b.set.IdleClose/2
 		b.told(n, e.Role, e.Position)
 	}
@@ -464,7 +467,7 @@
 func (b *Balancer) probed(e *Event) {
 	if n := b.nodes[e.Node]; n != nil && n.probing {
 		if e.Outcome == Done {
-			b.halls.Answered(n.zone)
+			b.halls.Answered(n.zone, b.now)
 		}
 		role := e.Role
 		if n.probing = false; n.role != RoleUnknown {
@@ -703,17 +706,33 @@
 	r.attempts = append(r.attempts, a)
 	r.live++
 	n.coldWork += b.work[r.c]
-	b.act(Action{Kind: Send, Why: b.sending(r, n), Request: r.id, Node: n.id, Until: b.until(r, n)})
+	b.act(Action{Kind: Send, Why: b.sending(r, n), Request: r.id, Node: n.id, Until: b.until(r, n), Up: b.up(r)})
 }
 
 // until is when an attempt is given up. Departure: where attempts were lately lost at nodes that answered
-// others, one that takes many times as long as usual at a node that is not busy is lost too, not heavy.
+// others, one that takes many times as long as usual at a node that is not busy is lost too, not heavy; and a
+// trial of a suspect must not cost its read, where another node could still take it.
 func (b *Balancer) until(r *request, n *node) Nanos {
-	c := &b.set.Classes[r.c]
-	if b.lost < lostLeast || n.load > fullLoad || c.Effect == Unsafe || !b.mayRepeat(r, n) {
+	c, trial := &b.set.Classes[r.c], n.suspect && b.spare(n)
+	if !trial && (b.lost < lostLeast || n.load > fullLoad) || c.Effect == Unsafe || !b.mayRepeat(r, n) {
 		return r.deadline
 	}
-	return min(r.deadline, b.now+max(Nanos(lostWork*b.work[r.c]), Nanos(lostAim*b.patience[r.c])))
+	end := min(r.deadline, b.now+max(Nanos(lostWork*b.work[r.c]), Nanos(lostAim*b.patience[r.c])))
+	if trial {
+		end = max(b.now, min(end, b.lastStart(r)-Nanos(b.work[r.c])))
+	}
+	return end
+}
+
+// up is when an attempt without a connection is given up: half of the time in which the request could still
+// start goes to one node that may be gone, and the rest is there for another.
+func (b *Balancer) up(r *request) Nanos {
+	return b.now + max((b.lastStart(r)-b.now)/2, Nanos(b.work[r.c]))
+}
+
+// spare says whether another member could take what a node has.
+func (b *Balancer) spare(n *node) bool {
+	return slices.ContainsFunc(n.g.members, func(m *node) bool { return m != n && b.usable(m) })
 }
 
 // place chooses the node for a held request, or nil to hold it on.
@@ -801,9 +820,10 @@
 	}, func(x, y *node) bool { return x.lastAns > y.lastAns })
 }
 
-// trial lets one safe read at a time find out whether a suspect is back.
+// trial lets one safe read at a time, which has time for another attempt, find out whether a suspect is back.
 func (b *Balancer) trial(g *group, r *request) *node {
-	if b.set.Classes[r.c].Effect != Safe || len(r.attempts) > 0 {
+	timely := b.now+3*Nanos(b.work[r.c]) < b.lastStart(r)
+	if b.set.Classes[r.c].Effect != Safe || len(r.attempts) > 0 || !timely {
 		return nil
 	}
 	return g.best(func(n *node) bool { return n.suspect && b.now >= n.trialAt && b.mayAsk(n, r) },
@@ -924,7 +944,8 @@
 // warmRoom keeps all routers together within a warming node's budget. This router's part is what a warm node
 // does for it in the mean, which sums up over the routers to less than the node could do: that is the safety.
 // Where the part is less than a request a window, few routers have one at hand when they might send it: there
-// each goes with the chance that the part is of what is usually asked, and no more than two a window.
+// each goes with the chance that the part is of what is usually asked: the sum over the routers is then the
+// budget, and a bound on a single one (three in any window) only keeps its bursts out.
 func (b *Balancer) warmRoom(n *node, r *request) bool {
 	w, span := b.warmth(n), b.set.OverloadFor
 	if w >= 1 || span == 0 {
@@ -943,7 +964,7 @@
 		if r.luck == 0 {
 			r.luck = b.draw()
 		}
-		return used < work && r.luck*usual < budget
+		return used < 2*work && r.luck*usual < budget
 	}
 	return budget-used >= n.draw*b.work[r.c]
 }
--- a/balance/interface.go
+++ b/balance/interface.go
@@ -252,7 +252,8 @@
 	Request string
 	Attempt int
 	Node    uint32
-	Until   Nanos
+	Until   Nanos // Send: when the attempt is given up
+	Up      Nanos // Send: when it is given up unless a connection is there; nothing ran
 	Wait    Nanos
 	At      Nanos
 	Tag     int64
--- a/decide/hall/hall.go
+++ b/decide/hall/hall.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 )
 
 // Nanos is a span or a point of the router's clock, in nanoseconds.
@@ -18,15 +19,16 @@
 	MaxPause Nanos // the pause doubles with each try that fails, up to this
 }
 
-// Halls knows the halls by name. It belongs to one goroutine. It remembers one entry a hall that was ever silent,
-// and in it at most Settings.Servers servers.
+// Halls knows the halls by name. It belongs to one goroutine. It remembers one entry a hall that was ever met, and
+// in it at most Settings.Servers servers.
 type Halls struct {
 	set   Settings
 	halls map[string]*state
 }
 
 type state struct {
-	silent []uint32 // servers that stayed silent since the hall's last answer
+	heard  Nanos    // its last answer
+	silent []uint32 // servers that were asked since then and stayed silent
 	since  Nanos    // when the first of these was asked
 	tryAt  Nanos
 	pause  Nanos
@@ -44,20 +46,32 @@
 }
 
 // Answered tells that a server of a hall said anything at all, an error too.
-func (h *Halls) Answered(hall string) { delete(h.halls, hall) }
+func (h *Halls) Answered(hall string, now Nanos) {
+	s := h.hall(hall)
+	s.heard, s.silent = max(s.heard, now), s.silent[:0]
+}
 
-// Silent tells that a server asked at a time has not answered by now, though answers usually come sooner. A
-// connection that is refused is no silence: the machine speaks.
-func (h *Halls) Silent(hall string, server uint32, asked, now Nanos) {
-	s := h.halls[hall]
+func (h *Halls) hall(name string) *state {
+	s := h.halls[name]
 	if s == nil {
-		s = &state{since: asked, pause: h.set.Pause}
-		h.halls[hall] = s
+		s = &state{heard: math.MinInt64}
+		h.halls[name] = s
 	}
-	s.since = min(s.since, asked)
-	if s.dark(h.set.Servers) {
+	return s
+}
+
+// Silent tells that a server asked at a time has not answered by now, though answers usually come sooner. A
+// connection that is refused is no silence: the machine speaks. Where the hall has spoken since, it is the server's
+// own: a slow one shows late what another's answer has long disproved.
+func (h *Halls) Silent(hall string, server uint32, asked, now Nanos) {
+	s := h.hall(hall)
+	if asked < s.heard || s.dark(h.set.Servers) {
 		return
 	}
+	if len(s.silent) == 0 {
+		s.since, s.pause = asked, h.set.Pause
+	}
+	s.since = min(s.since, asked)
 	for _, x := range s.silent {
 		if x == server {
 			return
@@ -91,5 +105,5 @@
 	return true
 }
 
-// Size is the number of halls that are remembered.
+// Size is the number of halls that are remembered: all that were met.
 func (h *Halls) Size() int { return len(h.halls) }
--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -29,6 +29,7 @@
 // Attempt is one query on its way to a node. Exactly one Result comes.
 type Attempt struct {
 	node   uint32
+	up     time.Time // a connection that is not there by then has failed
 	until  time.Time
 	word   func(io.Writer) error // writes the query, worded when it goes out
 	ctx    context.Context
@@ -41,10 +42,10 @@
 }
 
 // Start begins an attempt on the most recently used idle connection, or on a
-// new one. It does not wait for a connection to come up. The caller aborts the
+// new one, which must be up in time. It does not wait for that. The caller aborts the
 // attempt at until, if no result has come.
-func (p *Pool) Start(node uint32, until time.Time, word func(io.Writer) error) *Attempt {
-	a := &Attempt{node: node, until: until, word: word, done: make(chan Result, 1)}
+func (p *Pool) Start(node uint32, up, until time.Time, word func(io.Writer) error) *Attempt {
+	a := &Attempt{node: node, up: up, until: until, word: word, done: make(chan Result, 1)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	p.start(a)
 	return a
@@ -129,7 +130,8 @@
 
 // Probe asks a node for its report. It waits for the answer.
 func (p *Pool) Probe(node uint32, wait time.Duration) (Result, pgwire.Report) {
-	a := p.Start(node, time.Now().Add(wait), func(w io.Writer) error {
+	end := time.Now().Add(wait)
+	a := p.Start(node, end, end, func(w io.Writer) error {
 		_, err := w.Write(pgwire.AppendQuery(nil, "SHOW vitals"))
 		return err
 	})
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -131,7 +131,11 @@
 
 // connect dials and starts a session: Done, or why not.
 func (c *conn) connect(a *Attempt) Result {
-	ctx, stop := context.WithTimeout(a.ctx, c.pool.ConnectTimeout)
+	last := time.Now().Add(c.pool.ConnectTimeout)
+	if a.up.Before(last) {
+		last = a.up
+	}
+	ctx, stop := context.WithDeadline(a.ctx, last)
 	defer stop()
 	conn, err := c.pool.dial(ctx, c.dial)
 	if budget.Exhausted(err) { // the count said otherwise
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -167,7 +167,7 @@
 		return
 	}
 	n, err := strconv.ParseInt(value, 10, 64)
-	if err != nil || slices.Contains([]string{"clients", "open", "idle"}, key) { // what is there at the moment has no sum
+	if err != nil || slices.Contains([]string{"resident_kb", "clients", "open", "idle"}, key) { // what is there at the moment has no sum
 		return
 	}
 	of := f.Routers[router]
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -126,7 +126,7 @@
 
 		// One attempt, and never another while it is open.
 		began := r.router.clock.now()
-		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Until), r.word)
+		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Up), r.router.clock.at(act.Until), r.word)
 		res, here := r.await(a, act)
 		r.note(act, began, &res)
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
--- a/internal/router/totals.go
+++ b/internal/router/totals.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"os"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -35,10 +36,24 @@
 	clients := len(r.clients)
 	r.mu.Unlock()
 	open, idle := r.pool.Open()
-	line := append([]slog.Attr{slog.String("name", r.conf.Name), slog.Int("clients", clients), slog.Int("open", open), slog.Int("idle", idle)}, r.tally.Take()...)
+	line := append([]slog.Attr{slog.String("name", r.conf.Name), slog.Int64("resident_kb", resident()), slog.Int("clients", clients),
+		slog.Int("open", open), slog.Int("idle", idle)}, r.tally.Take()...)
 	slog.LogAttrs(context.Background(), slog.LevelInfo, "totals", line...)
 }
 
+// resident is the memory that the process holds, in KB; 0 where the system does not tell.
+func resident() int64 {
+	raw, err := os.ReadFile("/proc/self/statm")
+	if err != nil {
+		return 0
+	}
+	var size, pages int64
+	if _, err := fmt.Sscan(string(raw), &size, &pages); err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize()) / 1024
+}
+
 // tracer writes the way of single requests. Lines beyond the settings' rate are counted and left out.
 type tracer struct {
 	set   atomic.Pointer[setup.Log] // nil: nothing is written
