--- a/deploy/lab/overhead.jsonnet
+++ b/deploy/lab/overhead.jsonnet
@@ -20,6 +20,7 @@
     { name: 'direct', loads: ['direct'] },
     { name: 'four', loads: ['four'] },
     { name: 'many', loads: ['many'] },
+    { name: 'totals', loads: ['many'], own: { log: { totals_ms: 1000 } } },
     { name: 'admission', loads: ['four'], own: { admission: { per_address: 100, reserve: [{ name: 'known', users: ['counter'], connections: 100 }] } } },
   ],
   checks: [
@@ -27,6 +28,7 @@
     { name: 'CPU for each request, us', value: 'many.routers.cpu_us_per_request', max: 250 },
     { name: 'admission: p50 against none', value: 'admission.four.p50_ms', over: 'four.four.p50_ms', max: 1.15 },
     { name: 'admission: CPU for each request against none', value: 'admission.routers.cpu_us_per_request', over: 'four.routers.cpu_us_per_request', max: 1.15 },
+    { name: 'totals every second: CPU for each request against none', value: 'totals.routers.cpu_us_per_request', over: 'many.routers.cpu_us_per_request', max: 1.1 },
     { name: 'resident at start, MB', value: 'admission.routers.start_mb', max: 20 },
     { name: 'served of 64 clients', value: 'many.many.served_share', min: 1 },
   ],
--- a/internal/router/totals_test.go
+++ b/internal/router/totals_test.go
@@ -56,16 +56,16 @@
 		expect c1 welcome | T | D "v" | C | Z
 		send c1 Q "/* id=02,c=write,d=20000,k=ab,cluster=1 */ B"
 		expect s1 Q "/* id=02,c=write,d=#,k=ab,cluster=1 */ B"
-		close s1
-		close c1`)
+		close c1
+		expect s1 EOF`) // called off
 	stop()
 	<-done
 	text := w.String()
 	for _, want := range []string{
-		`msg=totals name=n0 resident_kb=`, ` clients=0 open=0 idle=0 asked=2 dial_up=1 end_done=1 end_reset=1 first=2 `,
+		`msg=totals name=n0 resident_kb=`, ` clients=0 open=0 idle=0 asked=2 dial_up=1 end_canceled=1 end_done=1 first=2 gone=1 `,
 		` served=1 at.h-1=1/0/0/0/1/0`,
 		`msg=request id=02 key=ab class=write cluster=1 `,
-		`way="h-1:`, `=reset/`,
+		`way="h-1:`, `=canceled/`,
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no %s in\n%s", want, text)
