--- /dev/null
+++ b/decide/member/explore_test.go
@@ -0,0 +1,188 @@
+package member
+
+import (
+	"fmt"
+	"hash/fnv"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// world is three members and what is under way between them; each event makes another one of it.
+type world struct {
+	now    Nanos
+	who    [3]*Members
+	killed [3]bool
+	way    []Message
+	path   []string
+}
+
+func (m *Members) clone() *Members {
+	c := *m
+	c.peers, c.relays = map[string]*peer{}, maps.Clone(m.relays)
+	for name, p := range m.peers {
+		q := *p
+		q.accusers = slices.Clone(p.accusers)
+		c.peers[name] = &q
+	}
+	if m.asked != nil {
+		q := *m.asked
+		c.asked = &q
+	}
+	c.ring, c.news, c.out = slices.Clone(m.ring), slices.Clone(m.news), nil
+	return &c
+}
+
+func (w *world) next(what string) *world {
+	c := &world{now: w.now, killed: w.killed, way: slices.Clone(w.way), path: append(slices.Clone(w.path), what)}
+	for i, m := range w.who {
+		c.who[i] = m.clone()
+	}
+	return c
+}
+
+func (w *world) hash() uint64 {
+	h := fnv.New64a()
+	for i, m := range w.who {
+		fmt.Fprint(h, w.killed[i], m.self, m.since, m.ring, m.turn, m.rounds, m.seq, m.health, m.lost, m.lostAt, m.cut, m.taken, m.relays, m.news, m.rng, m.now)
+		if m.asked != nil {
+			fmt.Fprint(h, *m.asked)
+		}
+		for _, name := range m.names() {
+			fmt.Fprint(h, *m.peers[name])
+		}
+	}
+	fmt.Fprint(h, w.way)
+	return h.Sum64()
+}
+
+const (
+	exploreStep = 10 * ms
+	mostOnWay   = 3 // beyond it something must arrive or be lost first
+)
+
+// events are all that can happen next: time goes on for all, a message arrives or is lost, one member is killed.
+func (w *world) events() []*world {
+	var out []*world
+	if len(w.way) < mostOnWay {
+		c := w.next("tick")
+		c.now += exploreStep
+		for i, m := range c.who {
+			if !c.killed[i] {
+				c.way = append(c.way, m.Tick(c.now)...)
+			}
+		}
+		out = append(out, c)
+	}
+	for k, msg := range w.way {
+		c := w.next(fmt.Sprintf("lose %d %s>%s", msg.Kind, msg.From, msg.To))
+		c.way = slices.Delete(c.way, k, k+1)
+		out = append(out, c)
+		for i := range c.who {
+			if address(i) == msg.To && !c.killed[i] {
+				d := w.next(fmt.Sprintf("deliver %d %s>%s", msg.Kind, msg.From, msg.To))
+				d.way = slices.Delete(d.way, k, k+1)
+				d.way = append(d.way, d.who[i].Receive(d.now, msg)...)
+				out = append(out, d)
+			}
+		}
+	}
+	if w.killed == [3]bool{} {
+		c := w.next("kill r002")
+		c.killed[2] = true
+		out = append(out, c)
+	}
+	return out
+}
+
+// broken says which invariant an event has broken.
+func (w *world) broken(before *world) string {
+	for i, m := range w.who {
+		v := m.View()
+		if v.Majority && (v.Deaf || v.Taken || 2*v.Counting <= m.set.Configured) {
+			return fmt.Sprintf("%s takes %d of %d for a majority", m.set.Name, v.Counting, m.set.Configured)
+		}
+		if m.self.State != Alive || m.Size() > 3+4+mostRelays {
+			return fmt.Sprintf("%s is %s itself, remembers %d", m.set.Name, m.self.State, m.Size())
+		}
+		for name, p := range m.peers {
+			old := before.who[i].peers[name]
+			if old == nil || old.Boot != p.Boot {
+				continue
+			}
+			if p.Incarnation < old.Incarnation {
+				return fmt.Sprintf("%s: the incarnation of %s fell", m.set.Name, name)
+			}
+			if p.State >= Dead && old.State < Dead && old.Heard > old.doubted && old.Heard > 0 {
+				return fmt.Sprintf("%s: %s is dead, though heard at %d ms and doubted since %d ms", m.set.Name, name, old.Heard/ms, old.doubted/ms)
+			}
+		}
+	}
+	return ""
+}
+
+// exploreStart is three that know each other, with spans so short that a doubt ends within reach; the first doubts the second.
+func exploreStart(t *testing.T, corrections bool) *world {
+	w := &world{}
+	for i := range w.who {
+		s := Usual(name(i), address(i), 1, 3)
+		s.Period, s.Wait, s.Helpers, s.LeastDoubt, s.MostDoubt, s.Pause, s.Forget = 2*exploreStep, exploreStep, 1, exploreStep, 2*exploreStep, 5*exploreStep, 1000*exploreStep
+		s.Confirms, s.Corrections = 1, corrections
+		m, err := New(s, uint64(i), 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for j := range w.who {
+			if j != i {
+				m.peers[name(j)] = &peer{Member: Member{Update: Update{Name: name(j), Address: address(j), Boot: 1, State: Alive}}}
+			}
+		}
+		m.news = nil
+		w.who[i] = m
+	}
+	w.who[0].accuse(w.who[0].peers[name(1)], name(0), Dead)
+	return w
+}
+
+// explore sees worlds breadth first, up to so many, and returns how many and how deep, and the shortest way to a broken one.
+func explore(w *world, most int) (states, depth int, fault string) {
+	seen, row := map[uint64]bool{w.hash(): true}, []*world{w}
+	for len(row) > 0 && len(seen) < most {
+		var next []*world
+		for _, x := range row {
+			for _, y := range x.events() {
+				if b := y.broken(x); b != "" {
+					return len(seen), len(y.path), b + "\n" + strings.Join(y.path, "\n")
+				}
+				if h := y.hash(); !seen[h] {
+					seen[h] = true
+					next = append(next, y)
+				}
+			}
+		}
+		depth++
+		row = next
+	}
+	return len(seen), depth, ""
+}
+
+func TestExplore(t *testing.T) {
+	states, depth, fault := explore(exploreStart(t, true), 20_000)
+	t.Logf("%d states, %d events deep", states, depth)
+	if fault != "" {
+		t.Error(fault)
+	}
+	if states < 10_000 || depth < 6 {
+		t.Errorf("only %d states, %d events deep", states, depth)
+	}
+}
+
+// A rule broken on purpose is found: plain SWIM ends a doubt though the member was heard meanwhile.
+func TestExploreFindsABrokenRule(t *testing.T) {
+	states, depth, fault := explore(exploreStart(t, false), 20_000)
+	t.Logf("%d states, %d events deep: %s", states, depth, fault)
+	if fault == "" {
+		t.Error("nothing was found")
+	}
+}
