Keep the list's clock of 6 s behind silence, refusals, 503s and paced calls

Where a service is shared (`subscribe`), a watch of 4 s, 3 s of patience for one whose last answer was late, and a pause of 1.2 to 3.6 s came before a silent watch was asked for again: 10.8 s with answers of 1 s. Pauses after errors grew to 20 s, drawn up to 30, and `turn` waited for `Pace` without an end. All of that is against 6 s from when discovery had a change and could be reached (`follow`, `next`, `get`, `turn`, NewWatcher). Ruled out: pushed lists (within 0.85 s, but for `turn`), a change between the whole list and the first watch, a move in the middle of an answer.

A watch is what 6 s leave beside its silence and a second answer as late as the last (table in fleet.md); after failures calls are paced from one call's beginning to the next's, up to 4 s, the calls of calm, and waited for until then; behind silence of a shared service, as behind a 5xx, the changes are asked for and not all; `Pace` may put a call off for 0.4 s (0.1 s pushed). The pauses by routers, their growth and the exception for a prompt service (`prompt`, `longestRest`, `pauseSteps`) go.

TestFleetComesBack plays 300 routers, 210 of them restarted in the moment of the return: before, 21 to 33 had no news within 15 s; now the last has it after 4.0 to 4.4 s.

--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -15,40 +15,50 @@
 	"lotushook/internal/tally"
 )
 
-// The list's clock, derived in docs/design/fleet.md: what was missed on a watch that fell silent counts as told 6 s after
-// that, or 2 s after the end of its wait, and what the router's own agent has counts from the moment it has it, with the
+// The list's clock, derived in docs/design/fleet.md: what discovery had and could have told counts as told 6 s later, also
+// where a watch fell silent or calls failed, and what the router's own agent has counts from the moment it has it, with the
 // settings' grace of a second for drains.
 const (
-	path       = "/v1/endpoints"
-	dialFor    = time.Second
-	leastPause = 50 * time.Millisecond
-	mostHasty  = 4               // answers that came at once; behind more in a row it rests, or an agent that waits for nothing had it spin
-	drip       = 2 * time.Second // from its first byte on, an answer is whole by then, or given up
+	path        = "/v1/endpoints"
+	dialFor     = time.Second
+	leastPause  = 50 * time.Millisecond
+	growth      = 4                // so many times as long as the one before, up to the longest, is the pause after an error
+	atOnce      = time.Millisecond // the wait of a call that asks for changes and wants to hear also that there are none
+	mostHasty   = 4                // answers that came at once; behind more in a row it rests, or an agent that waits for nothing had it spin
+	drip        = 2 * time.Second  // from its first byte on, an answer is whole by then, or given up
+	unknownLate = time.Duration(-1)
 	// So long an agent that says less than was had may be late with its news: what would lift a ban has to wait for that.
 	// It is less than the 4 s after which a new agent's word holds.
 	doubtFor = 3 * time.Second
 
 	// An agent of the router's own answers at once and asking it costs nothing. A watch that fell silent is opened anew
-	// after watchFor + quick + 1.5 leastPause = 825 ms, and one that has come back is asked within patient + 1.5
-	// mostPause = 850 ms: both are inside a drain's grace of a second. Where the settings tell a shorter one, all but
-	// leastPause is shorter in proportion: 450 and 425 ms for 500 ms.
+	// after watchFor + quick + 1.5 leastPause + mostTurn = 925 ms, and one that has come back is asked within patient +
+	// 1.5 leastPause + mostTurn = 875 ms: both are inside a drain's grace of a second. Where the settings tell a shorter
+	// one, all but leastPause is shorter in proportion: 500 and 475 ms for 500 ms, less 50 ms where nothing paces calls.
 	usualGrace = time.Second
 	watchFor   = 500 * time.Millisecond
 	quick      = 250 * time.Millisecond
 	patient    = 700 * time.Millisecond
 	mostPause  = 100 * time.Millisecond
+	mostTurn   = 100 * time.Millisecond
 
-	// Where one service of fixed capacity answers all routers, calls wait there in turn: who hangs up early has had it
-	// work for nothing, so one that is not known to be quick is waited for. The watch is the longest that does not put
-	// off the 6 s; what is left of them, 2 s, is for the silence of a quick service, 1.5 leastPause and its answer. All
-	// routers together ask it no oftener than once in eachCall when their pauses have grown.
-	sharedWatch  = 4 * time.Second
-	sharedQuick  = time.Second
-	turn         = 3 * time.Second
-	eachCall     = 200 * time.Millisecond
-	leastLongest = time.Second
-	longestRest  = 20 * time.Second // however many they are: half as long again must stay under the 40 s after a failed call
-	pauseSteps   = 8                // the first pause is such a part of the longest, where that is more
+	// Where one service of fixed capacity answers all routers, calls wait there in turn, and who hangs up early has had it
+	// work for nothing. A watch is the longest that leaves the 6 s room for what finds its silence and for a second answer
+	// as late as the last; a service that is later than that is spared, and waited for. After errors calls begin 4 s apart,
+	// as they do in calm, so that what comes back, or has time again, is asked within 6 s less the time of an answer.
+	toldAfter      = 6 * time.Second
+	toldMargin     = 200 * time.Millisecond
+	sharedWatch    = 4 * time.Second
+	sharedQuick    = time.Second
+	sharedLater    = 600 * time.Millisecond // than the last answer the next may be
+	sharedLatest   = 2 * time.Second        // a later service can't be found silent and answer within the 6 s
+	sharedTurn     = 4 * time.Second        // as long as the next call's time has not come
+	sharedEvery    = 4 * time.Second
+	sharedFirst    = 500 * time.Millisecond
+	sharedMostTurn = 400 * time.Millisecond
+	eachCall       = 200 * time.Millisecond // few routers ask sooner: all together after errors once in this
+	leastEvery     = time.Second
+	jitter         = 10 // of the span between two calls, such a part to either side
 )
 
 // statusError is an answer that came whole and is no list.
@@ -62,11 +72,14 @@
 // Watcher follows the list at one agent at a time.
 type Watcher struct {
 	// How long a watch is; what silence is borne beyond it from an agent whose last answer was quick, and from another;
-	// how long an answer may drip; the pause after an error, and what it grows to; how long less than was had is doubted.
-	watchFor, quick, patient, drip, first, most, doubtFor time.Duration
+	// how long an answer may drip; the pause after an error; what the span from one call to the next grows to while they
+	// fail; how long Pace may put a call off; how long less than was had is doubted.
+	watchFor, quick, patient, drip, first, every, mostTurn, doubtFor time.Duration
+	shared                                                           bool
 
 	Tally *tally.Tally // counts calls; nil: nobody does
-	// Pace is asked before a call for the whole list: it may be made after wait, or Pace is to be asked again then. nil: at once.
+	// Pace is asked before a call for the whole list: it may be made after wait, or Pace is to be asked again then. What it
+	// puts off for longer than the list's clock allows is asked for all the same. nil: at once.
 	Pace func() (wait time.Duration, ok bool)
 
 	dial func(ctx context.Context, agent string, within time.Duration) (net.Conn, error)
@@ -75,31 +88,30 @@
 	agent string
 	cut   context.CancelFunc // ends what is under way at the agent
 
-	seq    int64
-	known  bool      // a whole list was had from this agent
-	prompt bool      // the last answer was quick; it holds for the service, so over a move to another agent of it
-	had    int64     // the highest version taken, of any agent
-	doubt  time.Time // until when one that says less is doubted; zero: none is
-	conn   net.Conn
-	in     *filler
-	read   *bufio.Reader
+	seq   int64
+	known bool          // a whole list was had from this agent
+	late  time.Duration // the last answer, behind its wait; it holds for the service, so over a move to another agent of it
+	had   int64         // the highest version taken, of any agent
+	doubt time.Time     // until when one that says less is doubted; zero: none is
+	conn  net.Conn
+	in    *filler
+	read  *bufio.Reader
 }
 
 // NewWatcher returns a watcher of the agent at an address. Where routers is not
 // 0, so many share one service behind their agents, which each call burdens;
 // elsewhere news has to be had within a grace from when the agent has it (0: the usual).
 func NewWatcher(agent string, routers int, grace time.Duration) *Watcher {
-	w := &Watcher{agent: agent, watchFor: watchFor, quick: quick, patient: patient, drip: drip, first: leastPause, most: mostPause,
-		doubtFor: doubtFor, dial: dial}
+	w := &Watcher{agent: agent, watchFor: watchFor, quick: quick, patient: patient, drip: drip, first: leastPause, every: mostPause,
+		mostTurn: mostTurn, doubtFor: doubtFor, late: unknownLate, dial: dial}
 	if grace > 0 && grace < usualGrace {
-		for _, span := range []*time.Duration{&w.watchFor, &w.quick, &w.patient, &w.most} {
+		for _, span := range []*time.Duration{&w.watchFor, &w.quick, &w.patient, &w.every, &w.mostTurn} {
 			*span = *span * grace / usualGrace
 		}
 	}
-	if routers > 0 {
-		w.watchFor, w.quick, w.patient = sharedWatch, sharedQuick, turn
-		w.most = min(max(leastLongest, time.Duration(routers)*eachCall), longestRest)
-		w.first = max(leastPause, (w.most-leastLongest)/pauseSteps)
+	if w.shared = routers > 0; w.shared {
+		w.watchFor, w.quick, w.patient, w.mostTurn = sharedWatch, sharedQuick, sharedTurn, sharedMostTurn
+		w.first, w.every = sharedFirst, min(max(leastEvery, time.Duration(routers)*eachCall), sharedEvery)
 	}
 	return w
 }
@@ -132,8 +144,8 @@
 }
 
 // follow hands each list of one agent to told until the context ends. After an
-// error the whole list is asked for again, with short pauses; a malformed list
-// counts as one.
+// error the agent is asked anew, with short pauses: for the whole list where what
+// it said may not go on from what is known; a malformed list counts as an error.
 func (w *Watcher) follow(ctx context.Context, agent string, told func(*List) error) {
 	defer func() { w.hangUp() }()
 	w.known = false
@@ -158,14 +170,11 @@
 				hasty = 0
 			}
 			if hasty > mostHasty {
-				rest(ctx, leastPause)
+				rest(ctx, spread(leastPause))
 			}
 			continue
 		}
-		// A service that is too busy to answer leaves the list as it is: the changes
-		// since then are less work for it than all.
-		var busy statusError
-		w.known = w.known && errors.As(err, &busy) && busy.status >= 500
+		w.known = w.known && w.goesOn(err)
 		w.hangUp()
 		w.Tally.Add(tally.NoList)
 		if why := cause(err); why != last {
@@ -174,34 +183,52 @@
 		if row++; row&(row-1) == 0 { // the first, second, fourth ... of the same in a row: an agent may be away for long
 			slog.Warn("discovery", "agent", agent, "err", err, "in_a_row", row)
 		}
-		// What a quick service does not answer is a broken connection: it is asked anew at once, and only once, in place
-		// of the watch that would have come next.
-		next := pause
-		if w.prompt && silent(err) {
-			next = min(next, leastPause)
-		} else {
-			pause = min(2*pause, w.most)
+		next := spread(leastPause)
+		switch {
+		case w.late != unknownLate && silent(err):
+			// What a service does not answer of which something was heard is a broken connection: it is asked anew at
+			// once, and only once, in place of the watch that would have come next.
+		case pause == w.first:
+			next, pause = spread(pause), min(growth*pause, w.every)
+		case pause < w.every: // from call to call: one that was waited for has had its pause
+			next, pause = max(next, scatter(pause)-time.Since(began)), min(growth*pause, w.every)
+		default:
+			next = max(next, vary(pause)-time.Since(began))
 		}
-		w.prompt = false
+		w.late = unknownLate
 		rest(ctx, next)
 	}
 }
 
-// turn waits for this router's turn.
+// goesOn says whether the list that is known still stands behind an error, so that the changes since then, which are
+// less work for a service than all, are enough: it was too busy to answer. One that refuses or breaks connections may have
+// started anew. To a shared service silence says no more than that; an agent of the router's own answers all at no cost.
+func (w *Watcher) goesOn(err error) bool {
+	var busy statusError
+	return errors.As(err, &busy) && busy.status >= 500 || w.shared && silent(err)
+}
+
+// turn waits for this router's turn, for as long as the list's clock allows.
 func (w *Watcher) turn(ctx context.Context) {
+	late := time.NewTimer(w.mostTurn)
+	defer late.Stop()
 	for ok := false; !ok && ctx.Err() == nil; {
 		var wait time.Duration
 		wait, ok = w.Pace()
+		its := time.NewTimer(wait)
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-its.C:
+		case <-late.C:
+			ok = true
 		}
+		its.Stop()
 	}
 }
 
-// rest waits for about so long.
+// rest waits for so long.
 func rest(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(spread(d))
+	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -239,12 +266,13 @@
 	if !w.doubt.IsZero() && !time.Now().Before(w.doubt) { // its word holds from now on, so all of it is asked for
 		w.known = false
 	}
-	target, wait := path, time.Duration(0)
+	target, wait, quiet := path, time.Duration(0), w.quiet()
 	if w.known {
-		target, wait = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, w.seq, w.watchFor.Milliseconds()), w.watchFor
+		wait = w.wait()
+		target = fmt.Sprintf("%s?since=%d&timeout_ms=%d", path, w.seq, wait.Milliseconds())
 	}
 	began := time.Now()
-	body, err := w.get(ctx, agent, target, wait)
+	body, err := w.get(ctx, agent, target, wait, quiet)
 	if err != nil {
 		return nil, err
 	}
@@ -252,8 +280,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if late := time.Since(began) - wait; late >= 0 { // else news cut the wait short
-		w.prompt = late <= w.quick/2
+	if late := time.Since(began) - wait; late >= 0 || wait <= atOnce { // else news cut the wait short
+		w.late = max(late, 0)
 	}
 	if !l.Whole {
 		if !w.known {
@@ -274,11 +302,30 @@
 	return l, nil
 }
 
-func (w *Watcher) get(ctx context.Context, agent, target string, wait time.Duration) ([]byte, error) {
-	quiet := w.patient
-	if w.prompt {
-		quiet = w.quick
+// wait is how long a watch may be. After an error it is a call for what there is.
+func (w *Watcher) wait() time.Duration {
+	switch {
+	case w.late == unknownLate:
+		return atOnce
+	case w.shared && w.late <= sharedLatest:
+		return min(w.watchFor, toldAfter-toldMargin-w.quiet()-leastPause*3/2-w.late).Truncate(time.Millisecond)
+	}
+	return w.watchFor
+}
+
+// quiet is how long silence is borne beyond a call's wait, its dial included.
+func (w *Watcher) quiet() time.Duration {
+	switch {
+	case w.late == unknownLate:
+	case w.shared && w.late <= sharedLatest:
+		return max(w.quick, w.late+sharedLater)
+	case w.late <= w.quick/2:
+		return w.quick
 	}
+	return w.patient
+}
+
+func (w *Watcher) get(ctx context.Context, agent, target string, wait, quiet time.Duration) ([]byte, error) {
 	until := time.Now().Add(wait + quiet) // dialing is part of it
 	if w.conn == nil {
 		conn, err := w.dial(ctx, agent, min(dialFor, wait+quiet))
@@ -321,6 +368,12 @@
 // must not ask together.
 func spread(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
+// scatter draws a span from half to a tenth more: those whom one failure brought together ask apart from then on.
+func scatter(d time.Duration) time.Duration { return d/2 + rand.N(d/2+d/jitter) }
+
+// vary draws a span from a tenth less to a tenth more.
+func vary(d time.Duration) time.Duration { return d - d/jitter + rand.N(2*d/jitter) }
+
 func (w *Watcher) hangUp() {
 	if w.conn != nil {
 		w.conn.Close()
