--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -28,7 +28,8 @@
 		{`{"seq":41,"whole":false,"hosts":[]}`, 0},
 		{`{"seq":41,"whole":false,"hosts":[{"host":"s-1","health":"DELETED"}]}`, 1},
 		{``, -1}, {`null`, -1}, {`[]`, -1}, {`{"seq":41,"whole":true}`, -1}, {`{"whole":true,"hosts":[]}`, -1},
-		{`{"seq":"41","whole":true,"hosts":[]}`, -1},
+		{`{"seq":"41","whole":true,"hosts":[]}`, -1}, {`{"seq":-1,"whole":true,"hosts":[]}`, -1},
+		{`{"seq":41,"whole":true,"hosts":[]}{"seq":42,"whole":true,"hosts":[]}`, -1}, // two in one
 		{`{"seq":1,"whole":true,"hosts":[` + one + `,` + one + `]}`, -1},
 		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, "SERVING", "ODD", 1) + `]}`, -1},
 		{`{"seq":1,"whole":true,"hosts":[` + strings.Replace(one, ":1\"", "\"", 1) + `]}`, -1},
--- a/internal/discovery/http.go
+++ b/internal/discovery/http.go
@@ -11,7 +11,7 @@
 
 const (
 	mostHeaders = 100
-	longestBody = 8 << 20
+	longestBody = 2 << 20 // some ten thousand hosts; what it is parsed into has to fit a router of 32 MB
 )
 
 var errHTTP = errors.New("malformed HTTP response")
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -63,6 +63,9 @@
 	if l.Seq == nil || l.Whole == nil || l.Hosts == nil {
 		return nil, errors.New("list: seq, whole or hosts is missing")
 	}
+	if *l.Seq < 0 {
+		return nil, fmt.Errorf("list: seq %d is negative", *l.Seq)
+	}
 	seen := map[string]bool{}
 	for i, h := range *l.Hosts {
 		if h.Host == "" || seen[h.Host] {
@@ -116,7 +119,18 @@
 // errEmpty is an agent that has lost its list: servers leave one after the other, and never all.
 var errEmpty = errors.New("list: whole and empty, though hosts were listed: the old one is kept")
 
-// Take is Apply of a list from discovery. One that would take away all that is listed changes nothing. One that is
+// mostListed is how many hosts may be listed at once: each costs memory here and in the decisions, and an agent that names
+// ever new ones would take all there is.
+const mostListed = 16 << 10
+
+// crowdedError is a list that names more hosts than a router can hold.
+type crowdedError struct{ hosts int }
+
+func (e crowdedError) Error() string {
+	return fmt.Sprintf("list: %d hosts would be listed, and at most %d may: the old list is kept", e.hosts, mostListed)
+}
+
+// Take is Apply of a list from discovery. One that would take away all that is listed, or list too many, changes nothing. One that is
 // doubtful withdraws and drains, and adds what is new, but lifts nothing that was told of a server's present start.
 func (d *Directory) Take(l *List) (balance.Event, error) {
 	if l.Doubtful {
@@ -125,6 +139,9 @@
 	if l.Whole && len(l.Hosts) == 0 && d.listed() {
 		return balance.Event{}, errEmpty
 	}
+	if n := d.wouldList(l); n > mostListed {
+		return balance.Event{}, crowdedError{n}
+	}
 	return d.Apply(l), nil
 }
 
@@ -145,6 +162,22 @@
 	return kept
 }
 
+// wouldList is how many hosts are listed once a list is taken, at most: of changes each host is counted that is not listed.
+func (d *Directory) wouldList(l *List) int {
+	if l.Whole {
+		return len(l.Hosts)
+	}
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	n := len(d.nodes)
+	for _, h := range l.Hosts {
+		if _, met := d.ids[h.Host]; !met {
+			n++
+		}
+	}
+	return n
+}
+
 func (d *Directory) listed() bool {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
--- a/internal/discovery/watch.go
+++ b/internal/discovery/watch.go
@@ -332,6 +332,9 @@
 
 func (w *Watcher) get(ctx context.Context, agent, target string, wait, quiet time.Duration) ([]byte, error) {
 	until := time.Now().Add(wait + quiet) // dialing is part of it
+	if w.conn != nil && (w.read.Buffered() > 0 || w.in.in.Len() > 0) {
+		w.hangUp() // nobody asked for what stands there: it is no answer to this call
+	}
 	if w.conn == nil {
 		conn, err := w.dial(ctx, agent, min(dialFor, wait+quiet))
 		if err != nil {
