Show that the list and its servers are reached behind full descriptors

Suspicion: clients that fill the descriptors while discovery is down keep calls to it, or to the data servers that it then names, from being made. Ruled out: a watcher holds one connection, hung up before the next is dialled, out of the 24 descriptors that internal/budget deals to nobody; clients have five eighths of the rest, data servers three.

TestListBehindFullDescriptors fills the clients' share of 64 with clients that stay and all but one of the data servers', with one client more in the queue; the list of discovery's return is heard and a request goes to the server it names. What the system grants was not changed: descriptors are counted, not run out.

--- /dev/null
+++ b/internal/router/list_test.go
@@ -0,0 +1,73 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+
+	"lotushook/internal/config"
+	"lotushook/internal/scenario"
+	"lotushook/internal/setup"
+)
+
+// Clients that stay may hold all that clients may while discovery is silent, and data servers' connections all but one of
+// theirs: the list that comes with discovery's return is heard at once all the same, and a client's request finds its way
+// to the server that it names.
+func TestListBehindFullDescriptors(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := scenario.New(t, "s1", "s2", "agent")
+	text := scenario.Config(ln.Addr().String(), s.Addr("agent"), scenario.List(1, s.Expand("h-1 {s1} 1 SERVING")))
+	conf, err := config.Check(scenario.File(t, strings.Replace(text, `"sockets":1024`, `"sockets":64`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := New(conf, &setup.Setup{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.patience, r.hold = endless, 0
+	old := r.dir.Apply(conf.Known).Nodes[0].Node
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Serve(ctx, ln) }()
+	t.Cleanup(func() {
+		s.Close()
+		stop()
+		<-done
+	})
+	s.Dial("c", ln.Addr().String())
+	most, _ := r.budget.Clients()
+	for i := range most {
+		s.Play(fmt.Sprintf(`
+			send c%[1]d startup | Q ""
+			expect c%[1]d welcome | I | Z`, i))
+	}
+	s.Play(fmt.Sprintf("send c%d startup", most)) // stands in the queue: there is no room for it
+	if _, used := r.budget.Clients(); used != most || most < 10 {
+		t.Fatalf("%d clients of %d", used, most)
+	}
+	for r.budget.Dial() { // others, of which this test knows nothing
+	}
+	r.budget.Hangup()
+	s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 DRAINING", "h-2 {s2} 1 SERVING"))
+	until(t, "the list is heard", func() bool {
+		_, ready := r.dir.Address(old)
+		return !ready
+	})
+	s.Play(`
+		send c1 Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		wait s2
+		expect s2 startup
+		send s2 welcome
+		expect s2 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+		send s2 T | D "a" | C | S rank=copy | Z
+		expect c1 T | D "a" | C | Z`)
+	if s.Met("s1") {
+		t.Error("a draining server got a connection")
+	}
+}
