Ask once, right before a query's first byte, whether it may still go out

The owner decides and a task sends later; between them lie a dial or the taking of a pooled connection. conn.begin asked the directory for the node's state and then bound and wrote, without asking for anything else: an address that had changed, a client that had gone (request.await went on to send after a dial where attempts can't be called off), a router that had ended and an attempt whose time was over were not looked at, and the query was formatted between the check and the write. In request.run a select over the module's word and the client's leaving drew one of the two when both were ready. An attempt called off before its connection was up counted as one that may have run.

Change. bind is the one last step: node still listed for work, time left, the caller's wanted(), address unchanged, connection unspoilt; the query is formatted before it. A banned node is busy, a moved one gets the query at its new address as the same attempt, all else is skipped; the connection goes back to the pool. run looks for the client's leaving after whatever the select drew. Abort of what never came to a connection is skipped when it is a call-off.

Ruled out: a repeat after the client has left an attempt that breaks (TestClientLeavesBeforeRepeat passes without this, too), and a resting connection that is spoilt before it is taken (bind looked before, though not at the last moment).

Existing tests: only the new argument of Start.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -32,6 +32,7 @@
 	up     time.Time // a connection that is not there by then has failed
 	until  time.Time
 	word   func(io.Writer) error // writes the query, worded when it goes out
+	wanted func() bool           // asked right before its first byte goes out; nil: it always is
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan Result
@@ -43,9 +44,11 @@
 
 // Start begins an attempt on the most recently used idle connection, or on a
 // new one, which must be up in time. It does not wait for that. The caller aborts the
-// attempt at until, if no result has come.
-func (p *Pool) Start(node uint32, up, until time.Time, word func(io.Writer) error) *Attempt {
-	a := &Attempt{node: node, up: up, until: until, word: word, done: make(chan Result, 1)}
+// attempt at until, if no result has come. A dial takes its time: whether the query
+// is still wanted is asked once, right before its first byte goes out, and must not
+// wait for anything; if it is not, nothing ran and the node had no part in it.
+func (p *Pool) Start(node uint32, up, until time.Time, word func(io.Writer) error, wanted func() bool) *Attempt {
+	a := &Attempt{node: node, up: up, until: until, word: word, wanted: wanted, done: make(chan Result, 1)}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	p.start(a)
 	return a
@@ -68,14 +71,19 @@
 
 // Abort gives the attempt up: when it returns, the connection is closed and
 // nothing more will be written for it. The result is the given outcome, unless
-// another one had come first.
+// another one had come first. Of a query that never came to a connection nothing
+// ran: the node did not let it in by its time, or had no part in the call-off.
 func (a *Attempt) Abort(o balance.Outcome) Result {
 	a.mu.Lock()
 	c := a.conn
 	if !a.over {
 		a.over = true
-		if o == balance.TimedOut && c == nil { // it never came to a connection
+		switch {
+		case c != nil:
+		case o == balance.TimedOut:
 			o = balance.Refused
+		case o == balance.Canceled:
+			o = notSent
 		}
 		a.done <- Result{Outcome: o}
 	}
@@ -92,17 +100,31 @@
 type binding int
 
 const (
-	bound  binding = iota
-	over           // the attempt has ended
-	spoilt         // the connection can't be used
+	bound    binding = iota
+	over             // the attempt has ended
+	unwanted         // its time is over, or nobody wants its answer any more
+	banned           // its node is to get nothing new
+	moved            // its node listens elsewhere now
+	spoilt           // the connection can't be used
 )
 
-// bind ties the attempt to the connection that its query goes out on.
+// bind ties the attempt to the connection that its query goes out on: the last step
+// before the first byte, and the only one that asks whether it may. What was decided
+// before a dial or a wait may have been overtaken by then.
 func (a *Attempt) bind(c *conn) binding {
+	dial, ready := c.pool.Directory.Address(c.node)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.over {
+	now := time.Now()
+	switch {
+	case a.over:
 		return over
+	case !ready:
+		return banned
+	case !now.Before(a.until) || a.wanted != nil && !a.wanted():
+		return unwanted
+	case dial != c.dial:
+		return moved
 	}
 	invariant.Check(a.conn == nil, "an attempt is sent once")
 	c.mu.Lock()
@@ -112,7 +134,7 @@
 	}
 	a.conn = c
 	invariant.Check(c.cur == nil, "a connection carries one request at a time")
-	c.cur, c.sentAt = a, time.Now()
+	c.cur, c.sentAt = a, now
 	return bound
 }
 
@@ -134,7 +156,7 @@
 	a := p.Start(node, end, end, func(w io.Writer) error {
 		_, err := w.Write(pgwire.AppendQuery(nil, "SHOW vitals"))
 		return err
-	})
+	}, nil)
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	var res Result
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -38,7 +38,11 @@
 
 var errTurn = errors.New("no turn to dial")
 
-var errUnasked = errors.New("the data server spoke unasked")
+var (
+	errUnasked  = errors.New("the data server spoke unasked")
+	errUnwanted = errors.New("no time is left, or nobody waits for it")
+	errDrains   = errors.New("the node drains")
+)
 
 // conn is one connection to a data server. Its goroutine dials, and then reads
 // for as long as the connection lives, so that its end is seen while it idles.
@@ -292,39 +296,66 @@
 	return waits || err != nil
 }
 
-// begin writes an attempt's query, unless the attempt is over or its node is not
-// to get anything new: a slow dial can outlast the news of a drain.
+// begin writes an attempt's query, unless bind finds that it may not. A connection that turns out to be spoilt before
+// that is another one's turn, and the attempt is still the same.
 func (c *conn) begin(a *Attempt) {
-	if _, ready := c.pool.Directory.Address(c.node); !ready {
-		a.finish(Result{Outcome: balance.Busy, Err: errors.New("the node drains")})
+	rested := !c.idleAt.IsZero()
+	err := a.word(c.out) // before bind, so that nothing lies between that and the first byte
+	if err != nil {
+		c.drop()
+		c.back()
+		a.finish(Result{Outcome: notSent, Err: fmt.Errorf("write: %w", err)})
+		return
 	}
-	switch a.bind(c) {
+	how := a.bind(c)
+	if how != bound {
+		c.drop()
+	}
+	switch how {
 	case over:
-		if !c.pool.put(c) {
-			c.close()
-		}
+		c.back()
+		return
+	case unwanted:
+		c.back()
+		a.finish(Result{Outcome: notSent, Err: errUnwanted})
+		return
+	case banned:
+		c.back()
+		a.finish(Result{Outcome: balance.Busy, Err: errDrains})
+		return
+	case moved:
+		c.close()
+		c.pool.start(a)
 		return
 	case spoilt:
 		c.close()
-		if c.idleAt.IsZero() { // new, and nothing was written on it
-			a.finish(Result{Outcome: balance.Refused, Err: errUnasked})
-		} else {
+		if rested {
 			c.pool.start(a)
+		} else { // new, and nothing was written on it
+			a.finish(Result{Outcome: balance.Refused, Err: errUnasked})
 		}
 		return
 	}
 	c.net.SetWriteDeadline(a.until)
-	err := a.word(c.out)
-	whole := false
-	if err == nil {
-		_, err = c.out.WriteTo(c.net)
-		whole = c.out.Len() == 0
+	_, err = c.out.WriteTo(c.net)
+	whole := c.out.Len() == 0
+	c.drop()
+	if !whole {
+		c.close()
+		a.finish(Result{Outcome: balance.Refused, Err: fmt.Errorf("write: %w", err)})
 	}
+}
+
+// drop forgets what is left of a query.
+func (c *conn) drop() {
 	c.out.Discard(c.out.Len())
 	c.out.Idle()
-	if err != nil && !whole {
+}
+
+// back returns a connection that nothing was written on.
+func (c *conn) back() {
+	if !c.pool.put(c) {
 		c.close()
-		a.finish(Result{Outcome: balance.Refused, Err: fmt.Errorf("write: %w", err)})
 	}
 }
 
--- /dev/null
+++ b/internal/backend/laststep_test.go
@@ -0,0 +1,174 @@
+package backend
+
+import (
+	"io"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"lotushook/balance"
+	"lotushook/internal/pgwire"
+	"lotushook/internal/scenario"
+)
+
+// served is an answer that leaves its connection for the next query.
+const served = `send s T | D "v" | C | Z`
+
+func query(text string) func(io.Writer) error {
+	return func(w io.Writer) error {
+		_, err := w.Write(pgwire.AppendQuery(nil, text))
+		return err
+	}
+}
+
+// only is the one connection of a pool.
+func only(t *testing.T, p *Pool) *conn {
+	t.Helper()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.all {
+		if len(p.all) == 1 {
+			return c
+		}
+	}
+	t.Fatalf("%d connections", len(p.all))
+	return nil
+}
+
+func await(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("never: " + what)
+		}
+	}
+}
+
+// What happens after an attempt has got its connection, dialled or rested, and before the first byte of its query still
+// counts: nothing is written then, and the outcome says that nothing ran. The connection is as good as before.
+func TestLastStep(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		late func(d *directory, unwanted *atomic.Bool)
+		span time.Duration // of the attempt
+		want balance.Outcome
+	}{
+		{"the node drains", func(d *directory, _ *atomic.Bool) { d.drain() }, time.Hour, balance.Busy},
+		{"nobody waits any more", func(_ *directory, unwanted *atomic.Bool) { unwanted.Store(true) }, time.Hour, balance.Skipped},
+		{"its time is over", func(*directory, *atomic.Bool) { time.Sleep(200 * time.Millisecond) }, 200 * time.Millisecond, balance.Skipped},
+	} {
+		for _, rested := range []bool{false, true} {
+			name := c.name + " during a dial"
+			if rested {
+				name = c.name + " as a connection is taken"
+			}
+			t.Run(name, func(t *testing.T) {
+				s, p, d := stage(t, 1024)
+				var unwanted atomic.Bool
+				if rested {
+					a := p.try()
+					s.Play(greeted + served)
+					<-a.Done()
+				}
+				word := query("late")
+				a := p.Start(1, time.Now().Add(time.Hour), time.Now().Add(c.span), func(w io.Writer) error {
+					if rested {
+						c.late(d, &unwanted)
+					}
+					return word(w)
+				}, func() bool { return !unwanted.Load() })
+				if !rested {
+					s.Play("wait s\nexpect s startup")
+					c.late(d, &unwanted)
+					s.Play("send s welcome")
+				}
+				if res := <-a.Done(); res.Outcome != c.want {
+					t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+				}
+				await(t, "the connection is back", func() bool { return p.Idle() == 1 })
+				d.mu.Lock()
+				d.drains = false
+				d.mu.Unlock()
+				a = p.try()
+				s.Play("expect s Q \"A\"\n" + served)
+				if res := <-a.Done(); res.Outcome != balance.Done {
+					t.Errorf("the next one: outcome %d, %v", res.Outcome, res.Err)
+				}
+			})
+		}
+	}
+}
+
+// A node that is told to listen elsewhere while its connection comes up, or is taken, gets the query there: the old address
+// may be another's by now.
+func TestMovedAtTheLastStep(t *testing.T) {
+	for _, rested := range []bool{false, true} {
+		s, p, d := stage(t, 1024)
+		other := scenario.New(t, "s")
+		move := func() {
+			d.mu.Lock()
+			d.dial = other.Addr("s")
+			d.mu.Unlock()
+		}
+		if rested {
+			a := p.try()
+			s.Play(greeted + served)
+			<-a.Done()
+		}
+		end, moved := time.Now().Add(time.Hour), make(chan *Attempt, 1)
+		go func() {
+			moved <- p.Start(1, end, end, func(w io.Writer) error {
+				if rested {
+					move()
+				}
+				return word(w)
+			}, nil)
+		}()
+		if !rested {
+			s.Play("wait s\nexpect s startup")
+			move()
+			s.Play("send s welcome")
+		}
+		s.Play("expect s EOF")
+		other.Play(greeted + served)
+		if res := <-(<-moved).Done(); res.Outcome != balance.Done {
+			t.Errorf("rested %v: outcome %d, %v", rested, res.Outcome, res.Err)
+		}
+	}
+}
+
+// An attempt that is called off before its connection is up did not run, and the node had no part in that.
+func TestCalledOffDuringDial(t *testing.T) {
+	s, p, _ := stage(t, 1024)
+	a := p.try()
+	s.Play("wait s\nexpect s startup")
+	if res := a.Abort(balance.Canceled); res.Outcome != balance.Skipped {
+		t.Errorf("outcome %d", res.Outcome)
+	}
+	s.Play("expect s EOF")
+}
+
+// A connection that a data server spoils just as it is taken, with its end or with anything that it says, is not written on:
+// the query goes to another one, as one and the same attempt.
+func TestSpoiltAsItIsTaken(t *testing.T) {
+	for _, spoil := range []string{"close s", `send s raw "S\x00"`, `send s FATAL 57P03`, `send s FATAL 53300`, `send s E 53300 | Z`, `send s T | D "w" | C | Z`} {
+		s, p, _ := stage(t, 1024)
+		a := p.try()
+		s.Play(greeted + served)
+		<-a.Done()
+		c := only(t, p)
+		end, spoilt := time.Now().Add(time.Hour), false
+		a = p.Start(1, end, end, func(w io.Writer) error {
+			if !spoilt { // the connection is this attempt's, and not written on
+				spoilt = true
+				s.Play(spoil)
+				await(t, "it has arrived", func() bool { return c.isStale() || c.unread() })
+			}
+			return word(w)
+		}, nil)
+		s.Play(greeted + served)
+		if res := <-a.Done(); res.Outcome != balance.Done || string(res.Value) != "v" {
+			t.Errorf("%s: outcome %d, %q, %v", spoil, res.Outcome, res.Value, res.Err)
+		}
+	}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -40,6 +40,7 @@
 	came   balance.Nanos
 	end    contract.End // the task's, before it tells its end
 	ran    bool         // the task's: an attempt may have run
+	gone   bool         // the task's: the module has been told that nobody waits any more
 	floor  ground       // the task's: what a session's read must see, and on whose word; empty where no sends are recorded
 	way    []step       // the task's: its attempts, where a line of it may be wanted
 	result *result      // the task's: what it ended with, where the router itself asked
@@ -123,9 +124,6 @@
 		select {
 		case act = <-r.acts:
 		case <-r.client.left:
-			r.tell(balance.Event{Kind: balance.RequestGone})
-			r.end.Gone = true
-			return r.calledOff()
 		case <-r.router.ended:
 		case <-overdue.C:
 			select {
@@ -138,6 +136,9 @@
 				return failed("no answer in time")
 			}
 		}
+		if r.departed() { // whatever else came in the same moment
+			return r.calledOff()
+		}
 		if act.Kind != balance.Refuse && act.Kind != balance.Fail && r.router.hasEnded() {
 			r.tell(balance.Event{Kind: balance.RequestGone})
 			if outcome = turned; r.ran {
@@ -167,8 +168,9 @@
 		// One attempt, and never another while it is open.
 		r.router.members.sent(r, act)
 		began := r.router.clock.now()
-		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Up), r.router.clock.at(act.Until), r.word)
-		res, here := r.await(a, act)
+		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Up), r.router.clock.at(act.Until), r.word, r.wanted)
+		res := r.await(a, act)
+		here := !r.departed()
 		r.note(act, began, &res)
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
 			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
@@ -182,7 +184,7 @@
 		case write && mayRun(res.Outcome):
 			r.router.members.mayHaveRun(r.Class, r.Key)
 		}
-		r.end.Served, r.end.Gone = res.Outcome == balance.Done, !here
+		r.end.Served = res.Outcome == balance.Done
 		if res.Outcome == balance.Done && (here || r.client.fatal) {
 			outcome = served
 			if r.result != nil {
@@ -216,30 +218,55 @@
 }
 
 // await waits for an attempt's end: its answer, its time, the module's cancel,
-// or the client's leaving, after which here is false.
-func (r *request) await(a *backend.Attempt, act balance.Action) (res backend.Result, here bool) {
+// or the client's leaving, which the module is told at once.
+func (r *request) await(a *backend.Attempt, act balance.Action) backend.Result {
 	late := time.NewTimer(time.Until(r.router.clock.at(act.Until)))
 	defer late.Stop()
-	left, here := r.client.left, true
+	left := r.client.left
 	for {
 		select {
-		case res = <-a.Done():
-			return res, here
+		case res := <-a.Done():
+			return res
 		case <-late.C:
-			return a.Abort(balance.TimedOut), here
+			return a.Abort(balance.TimedOut)
 		case <-r.router.ended:
-			return a.Abort(balance.TimedOut), here
+			return a.Abort(balance.Canceled)
 		case <-left:
-			left, here = nil, false
-			r.tell(balance.Event{Kind: balance.RequestGone}) // a cancel follows, where cancels are allowed
+			left = nil
+			r.departed() // a cancel follows, where cancels are allowed
 		case act := <-r.acts:
 			if invariant.Check(act.Kind == balance.Cancel, "no action but a cancel while an attempt is open", "kind", act.Kind) {
-				return a.Abort(balance.Canceled), here
+				return a.Abort(balance.Canceled)
 			}
 		}
 	}
 }
 
+// wanted says whether the query may still go out, right before its first byte does:
+// it is asked on any goroutine, and waits for nothing.
+func (r *request) wanted() bool {
+	return !r.hasLeft() && !r.router.hasEnded()
+}
+
+// hasLeft says whether the client has gone, or is only being closed for an error of its own.
+func (r *request) hasLeft() bool {
+	select {
+	case <-r.client.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// departed says whether nobody waits for the answer any more, and tells the module once.
+func (r *request) departed() bool {
+	if !r.gone && r.hasLeft() {
+		r.gone, r.end.Gone = true, true
+		r.tell(balance.Event{Kind: balance.RequestGone})
+	}
+	return r.gone
+}
+
 // calledOff is the answer once the client has left: none, unless it is only being
 // closed for an error of its own.
 func (r *request) calledOff() []byte {
