Take a query that did not go out whole for one that did not run

On a pooled connection one goroutine writes the query and another reads, and neither asked how far the other was. (1) A connection that broke in the middle of a query was a reset, which may have run, if the reader heard of it first, and a refusal, which marks the node down, if the writer did. The query never was there whole. (2) An answer that was read before the writer came back from its write put the connection into the pool; the writer then dropped what lay in the buffer (c.out.Discard), which could be the next attempt's query: that was never sent and waited for to the end of its time. (3) An answer before the query's last byte was taken for its answer.

The writer tells the reader once an attempt whether the query went out whole. If not, the writer sees to the attempt: on a connection that had rested the same attempt goes on with another, on a new one it is refused as before. A server that answers and does not take the rest is waited for as long as an answer may stall.

With the code of before, TestBrokenInTheMiddleOfAQuery (no second connection came) and TestAnswerOvertakesTheWriter failed.

--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -138,6 +138,15 @@
 	return bound
 }
 
+// unbind frees the attempt of a connection that did not take its query whole; it
+// says whether the attempt goes on.
+func (a *Attempt) unbind() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.conn = nil
+	return !a.over
+}
+
 // finish delivers the result; what comes after the first one is dropped.
 func (a *Attempt) finish(r Result) {
 	a.mu.Lock()
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -7,6 +7,7 @@
 	"hash/maphash"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -64,10 +65,15 @@
 	closed bool
 	before uint64 // only the goroutine's: the hash of the row of the answer before
 	freed  sync.Once
+
+	// For each attempt that is bound to the connection, once: whether its query went out whole. Who writes it may be
+	// another goroutine than the one that reads, and what is read tells nothing of a query that was not there.
+	sent chan bool
 }
 
 func newConn(p *Pool, node uint32, dial string) *conn {
-	return &conn{pool: p, node: node, dial: dial, in: ring.New(MostAnswer).Within(p.Reading), out: ring.New(1 << 20)}
+	return &conn{pool: p, node: node, dial: dial, in: ring.New(MostAnswer).Within(p.Reading), out: ring.New(1 << 20),
+		sent: make(chan bool, 1)}
 }
 
 // close ends the connection; the goroutine sees it and cleans up.
@@ -107,6 +113,11 @@
 		}
 		if !keep {
 			c.close()
+		}
+		if !c.whole() { // who writes sees to the attempt
+			return
+		}
+		if !keep {
 			a.finish(res)
 			return
 		}
@@ -123,6 +134,19 @@
 	}
 }
 
+// whole waits for the end of the writing of a query, and says whether all of it went out: whatever came back of one
+// that did not was no answer to it. A server that answers and does not take the rest is not waited for long.
+func (c *conn) whole() bool {
+	select {
+	case whole := <-c.sent: // as nearly always
+		return whole
+	default:
+	}
+	late := time.AfterFunc(c.pool.Stall, c.close)
+	defer late.Stop()
+	return <-c.sent
+}
+
 // dialled is how connect's outcome counts.
 func dialled(o balance.Outcome) tally.Counter {
 	switch o {
@@ -296,8 +320,8 @@
 	return waits || err != nil
 }
 
-// begin writes an attempt's query, unless bind finds that it may not. A connection that turns out to be spoilt before
-// that is another one's turn, and the attempt is still the same.
+// begin writes an attempt's query, unless bind finds that it may not. A connection that turns out to be spoilt before the
+// query went out whole is another one's turn, and the attempt is still the same.
 func (c *conn) begin(a *Attempt) {
 	rested := !c.idleAt.IsZero()
 	err := a.word(c.out) // before bind, so that nothing lies between that and the first byte
@@ -340,8 +364,18 @@
 	_, err = c.out.WriteTo(c.net)
 	whole := c.out.Len() == 0
 	c.drop()
-	if !whole {
-		c.close()
+	if whole {
+		c.sent <- true
+		return
+	}
+	c.close()
+	goesOn := a.unbind()
+	c.sent <- false
+	switch {
+	case !goesOn:
+	case rested && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.pool.start(a)
+	default:
 		a.finish(Result{Outcome: balance.Refused, Err: fmt.Errorf("write: %w", err)})
 	}
 }
--- a/internal/backend/laststep_test.go
+++ b/internal/backend/laststep_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"io"
+	"net"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -172,3 +174,83 @@
 		}
 	}
 }
+
+// narrow makes a connection hold little of what is not read.
+func narrow(t *testing.T, c *conn) {
+	t.Helper()
+	if err := c.net.(*net.TCPConn).SetWriteBuffer(4 << 10); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// A connection that ends, or says anything, before the last byte of a query is written has not run it. On one that rested
+// the query goes to another, as the same attempt, whoever hears of the end first.
+func TestBrokenInTheMiddleOfAQuery(t *testing.T) {
+	large := strings.Repeat("x", 900<<10)
+	for _, end := range []string{"close s", "send s FATAL 57P03\nclose s", `send s E 53300 | Z`, `send s T | D "w" | C | Z`, `send s T | D "w"`} {
+		s, p, _ := stage(t, 1024)
+		p.Stall = 50 * time.Millisecond
+		a := p.try()
+		s.Play(greeted + served)
+		<-a.Done()
+		narrow(t, only(t, p))
+		until, started := time.Now().Add(time.Hour), make(chan *Attempt, 1)
+		go func() { started <- p.Start(1, until, until, query(large), nil) }()
+		s.Play(`expect s raw "Q"` + "\n" + end) // it is on its way, and nobody reads on
+		s.Set("large", large)
+		s.Play("wait s as y\nexpect y startup\nsend y welcome\nexpect y Q \"{large}\"\n" + `send y T | D "v" | C | Z`)
+		if res := <-(<-started).Done(); res.Outcome != balance.Done || string(res.Value) != "v" {
+			t.Errorf("%s: outcome %d, %q, %v", end, res.Outcome, res.Value, res.Err)
+		}
+	}
+}
+
+// heldWrite is a connection whose next write is done and does not return before it is let go.
+type heldWrite struct {
+	net.Conn
+	hold atomic.Bool
+	done chan struct{}
+	free chan struct{}
+}
+
+func (h *heldWrite) Write(p []byte) (int, error) {
+	n, err := h.Conn.Write(p)
+	if h.hold.Swap(false) {
+		close(h.done)
+		<-h.free
+	}
+	return n, err
+}
+
+// An answer that overtakes the goroutine that wrote its query must not give the connection to another attempt: what the
+// writer drops at its end would be the other's query, which then never went out and is waited for to the end of its time.
+func TestAnswerOvertakesTheWriter(t *testing.T) {
+	s, p, _ := stage(t, 1024)
+	p.Stall = 20 * time.Millisecond
+	a := p.try()
+	s.Play(greeted + served)
+	<-a.Done()
+	c := only(t, p)
+	held := &heldWrite{Conn: c.net, done: make(chan struct{}), free: make(chan struct{})}
+	held.hold.Store(true)
+	c.mu.Lock()
+	c.net = held
+	c.mu.Unlock()
+	first := make(chan *Attempt, 1)
+	go func() { first <- p.try() }()
+	<-held.done
+	s.Play("expect s Q \"A\"\n" + served)
+	closed := func() bool {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		return c.closed
+	}
+	await(t, "the answer is here", func() bool { return closed() || p.Idle() > 0 })
+	if p.Idle() > 0 {
+		t.Error("a connection is free that is being written on")
+	}
+	close(held.free)
+	if res := <-(<-first).Done(); res.Outcome != balance.Done {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+}
