See that a client has gone while its reader can't read

Only the reader sees a client's end, and it does not read while it waits for one of the 16 slots (client.task), rests after an unusable query (up to 250 ms a query) or waits for open answers before a fatal error (settle, up to 500 ms). With requests unread in front of the end, reading on would not show it without buffering them.

While it waits in one of these three, the reader looks at its socket every 25 ms: a peek, and behind unread bytes the connection's state. What a system does not tell counts as still there. Nothing is asked while it reads.

Ruled out: an answer that is being written (another goroutine writes it; TestCloseDuringAnswer passes without this, too).

With the look switched off, TestCloseBehindPipelinedRequests, TestCloseBehindBrokenMessage and TestCloseDuringRest failed.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -174,17 +174,12 @@
 	c.conn.SetReadDeadline(longAgo)
 }
 
-// settle waits for the open requests, but not for long.
+// settle waits for the open requests, but not for long, and not for a client that has gone.
 func (c *client) settle(most time.Duration) {
 	c.mu.Lock()
 	last := c.last
 	c.mu.Unlock()
-	timer := time.NewTimer(most)
-	defer timer.Stop()
-	select {
-	case <-last:
-	case <-timer.C:
-	}
+	c.rest(most, last)
 }
 
 // fill waits for more bytes. From the first byte of a message on, the sweep
@@ -389,11 +384,7 @@
 		return err
 	}
 	c.faults++
-	select {
-	case <-time.After(min(time.Duration(c.faults)*paceStep, mostPace)):
-	case <-c.router.ended:
-	}
-	return nil
+	return c.rest(min(time.Duration(c.faults)*paceStep, mostPace), c.router.ended)
 }
 
 // local answers without the module.
@@ -404,7 +395,9 @@
 // task runs f beside the reader and writes what it returns when its turn has
 // come, so that answers keep the order of the queries.
 func (c *client) task(tasks *sync.WaitGroup, f func() []byte) error {
-	c.slots <- struct{}{}
+	if err := c.takeSlot(); err != nil {
+		return err
+	}
 	c.mu.Lock()
 	if c.router.door != nil {
 		if err := c.router.door.ask(c); err != nil {
--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"testing"
@@ -142,3 +143,119 @@
 		}
 	}
 }
+
+// A client's end is seen though its reader can take no more: every slot is taken, and what it sent on is read or not.
+func TestCloseBehindPipelinedRequests(t *testing.T) {
+	for _, n := range []int{pipelined + 1, pipelined * 30} {
+		s, r := stageSet(t, time.Hour, endless, noCancel, "h-1 {s1} 1 SERVING") // nothing is decided before the agent answers
+		var all []string
+		for i := range n {
+			all = append(all, fmt.Sprintf(`Q "/* id=%d,c=read,d=20000,cluster=1 */ A"`, i+1))
+		}
+		s.Play("send c1 startup | " + strings.Join(all, " | "))
+		until(t, "no slot is free", func() bool { return someone(r, func(c *client) bool { return len(c.slots) == pipelined }) })
+		closed := time.Now()
+		s.Play("close c1")
+		until(t, "its leaving is seen", func() bool { return !someone(r, func(c *client) bool { return !hasLeft(c) }) })
+		if took := time.Since(closed); took > 10*time.Second { // the requests' own end would come at 20 s
+			t.Errorf("%d requests: its leaving was seen after %v", n, took)
+		}
+		until(t, "nobody is here", func() bool { return !someone(r, func(*client) bool { return true }) })
+		s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 SERVING"))
+		s.Play(`send c2 startup | Q "/* id=b,c=read,d=20000,cluster=1 */ B"
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 Q "/* id=b,c=read,d=#,cluster=1 */ B"
+			send s1` + value + `
+			expect c2 welcome | T | D "v" | C | Z`)
+		if s.Met("s1") {
+			t.Errorf("%d requests: one of a client that had gone was sent", n)
+		}
+	}
+}
+
+// A client that breaks the protocol and goes is not waited for as one that only broke it: its requests are called off.
+func TestCloseBehindBrokenMessage(t *testing.T) {
+	p := endless
+	p.open = time.Hour
+	s, r := stageSet(t, time.Hour, p, noCancel, "h-1 {s1} 1 SERVING")
+	s.Play("send c1 startup | " + read01 + ` | raw "Q\x00\x00\x00\x01more that nobody reads"
+		close c1`)
+	until(t, "its request has come", func() bool { return len(r.owner.events) > 1 })
+	until(t, "its leaving is seen", func() bool { return !someone(r, func(c *client) bool { return !hasLeft(c) }) })
+	until(t, "its request has ended", func() bool { return !someone(r, func(*client) bool { return true }) })
+}
+
+// A client's pause after an unusable query ends with the client.
+func TestCloseDuringRest(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	for _, unread := range []string{"", "x"} {
+		for _, reset := range []bool{false, true} {
+			conn, err := net.Dial("tcp", ln.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			there, err := ln.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := &client{conn: there}
+			if c.hungUp() {
+				t.Error("one that is here has hung up")
+			}
+			if _, err := conn.Write([]byte(unread)); err != nil {
+				t.Fatal(err)
+			}
+			if c.hungUp() {
+				t.Error("one that has sent something has hung up")
+			}
+			if reset {
+				conn.(*net.TCPConn).SetLinger(0)
+			}
+			conn.Close()
+			if err := c.rest(time.Hour, nil); err == nil {
+				t.Errorf("unread %q, reset %v: the rest was not cut short", unread, reset)
+			}
+			there.Close()
+		}
+	}
+}
+
+// A client's end is seen while an answer is written to it that it does not take: the requests behind that are called off.
+func TestCloseDuringAnswer(t *testing.T) {
+	s, r := stageSet(t, 0, endless, noCancel, "h-1 {s1} 1 SERVING")
+	const large = 12 // of 1,000 KB: more than sockets hold
+	s.Set("large", strings.Repeat("v", 1000<<10))
+	var all []string
+	for i := range large {
+		all = append(all, fmt.Sprintf(`Q "/* id=%d,c=read,d=20000,cluster=1 */ A"`, i+1))
+	}
+	s.Play("send c1 startup | " + all[0] + `
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=1,c=read,d=#,cluster=1 */ A"
+		send s1 T | D "{large}" | C | S rank=copy | Z`)
+	for i := 1; i < large; i++ {
+		until(t, "the answer before was read", func() bool { return r.pool.Idle() == 1 })
+		s.Play("send c1 " + all[i])
+		s.Play(fmt.Sprintf("expect s1 Q \"/* id=%d,c=read,d=#,cluster=1 */ A\"", i+1))
+		s.Play(`send s1 T | D "{large}" | C | S rank=copy | Z`)
+	}
+	until(t, "the last answer was read", func() bool { return r.pool.Idle() == 1 })
+	// One more, whose attempt breaks after the client has gone.
+	s.Play("send c1 " + read02 + `
+		expect s1 ` + seen02 + `
+		close c1`)
+	until(t, "its leaving is seen", func() bool { return someone(r, hasLeft) || !someone(r, func(*client) bool { return true }) })
+	s.Play("close s1")
+	until(t, "its requests have ended", func() bool { return !someone(r, func(*client) bool { return true }) })
+	if s.Met("s1") {
+		t.Error("a request whose client had gone was repeated")
+	}
+}
