Call off the request that a CancelRequest names

Cause. client.start dropped a CancelRequest unread, and the welcome's key data was eight zeros: a client could not cancel, and its request went on to be sent.

A match ends the request that the connection answers next, with 57014, whether it waits, dials or is out; where attempts can't be called off an answer that still comes is given, and nothing is repeated. A request stays the one that is named until its answer is written, so that a cancel that crosses the answer does not hit the next. A wrong or unknown key is ignored. The cancel's own connection is closed as soon as it is read.

--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -52,6 +52,7 @@
 	CodeInvalidParameter   = "22023"
 	CodeCursor             = "55000" // a feed can't go on from where the subscriber is
 	CodeFailed             = "58000" // a router's failed: it promises nothing
+	CodeQueryCanceled      = "57014" // on the client's own CancelRequest
 )
 
 const (
@@ -148,6 +149,20 @@
 	return Startup, n, nil
 }
 
+// CancelKey is a session's name and secret, by which a CancelRequest on another connection calls off what the session waits
+// for.
+type CancelKey struct{ Process, Secret uint32 }
+
+// CancelOf is the key in a CancelRequest of n bytes that NextStart has found at the front of the buffer; ok is false where
+// it is none of this protocol's length.
+func CancelOf(b *ring.Buffer, n int) (key CancelKey, ok bool) {
+	if n != 16 {
+		return CancelKey{}, false
+	}
+	p := b.Peek(n)
+	return CancelKey{binary.BigEndian.Uint32(p[8:]), binary.BigEndian.Uint32(p[12:])}, true
+}
+
 // StartupParams are the parameters of a Startup of n bytes that NextStart has
 // found at the front of the buffer; each is called with its name and value.
 func StartupParams(b *ring.Buffer, n int, each func(name, value string)) {
@@ -287,14 +302,15 @@
 	return append(out, body...)
 }
 
-// AppendWelcome appends what a server says to a startup message.
-func AppendWelcome(out []byte) []byte {
+// AppendWelcome appends what a server says to a startup message; key is what a
+// CancelRequest calls the session by.
+func AppendWelcome(out []byte, key CancelKey) []byte {
 	out = Append(out, Authentication, []byte{0, 0, 0, 0})
 	for _, p := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}, {"integer_datetimes", "on"}} {
 		out = Append(out, ParameterStatus, []byte(p[0]+"\x00"+p[1]+"\x00"))
 	}
-	out = Append(out, BackendKeyData, make([]byte, 8))
+	out = Append(out, BackendKeyData, binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, key.Process), key.Secret))
 	return AppendReady(out)
 }
 
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -143,7 +143,7 @@
 // No bytes may make a parser panic, or read past what came.
 func FuzzMessages(f *testing.F) {
 	f.Add(AppendStartup(nil, "worker", "catalog"))
-	f.Add(AppendWelcome(nil))
+	f.Add(AppendWelcome(nil, CancelKey{}))
 	f.Add(AppendError(AppendQuery(nil, "x"), "ERROR", "XX000", "m", "5"))
 	f.Add([]byte("D\x00\x00\x00\x0f\x00\x01\x00\x00\x00\x05abcde"))
 	f.Fuzz(func(t *testing.T, in []byte) {
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,9 +60,11 @@
 	seat   *feed.Seat   // the reader's: of one that has asked for a feed
 	id     admission.ID // at the door
 	who    contract.Who // as its startup message says
+	key    pgwire.CancelKey
 	mu     sync.Mutex
 	away   *turnedAway // the door's word, for the reader to say
 	busy   int         // queries taken and not answered
+	open   []*request  // of those, the ones that a CancelRequest can name, in their order
 	asked  bool        // it has sent a whole query
 	idleAt time.Time   // since when none is open
 	halfAt time.Time   // since when a message is here in part; zero: none is
@@ -105,6 +108,7 @@
 		c.settle(c.router.patience.open)
 	}
 	close(c.left)
+	c.router.cancels.remove(c)
 	tasks.Wait()
 	if c.fatal {
 		c.write(pgwire.AppendError(behind, "FATAL", code, err.Error(), wait))
@@ -255,8 +259,14 @@
 		if err != nil {
 			return err
 		}
-		if kind == pgwire.Startup {
+		switch kind {
+		case pgwire.Startup:
 			c.introduce(size)
+		case pgwire.CancelRequest: // its connection has no other use, and is closed at once
+			if key, ok := pgwire.CancelOf(c.in, size); ok {
+				c.router.cancels.cancel(key)
+			}
+			return errDone
 		}
 		c.in.Discard(size)
 		if kind == pgwire.Startup && c.router.door != nil {
@@ -265,14 +275,12 @@
 			}
 		}
 		switch kind {
-		case pgwire.CancelRequest:
-			return errDone
 		case pgwire.EncryptRequest:
 			if err := c.write([]byte{'N'}); err != nil {
 				return err
 			}
 		case pgwire.Startup:
-			return c.write(pgwire.AppendWelcome(nil))
+			return c.write(pgwire.AppendWelcome(nil, c.router.cancels.add(c)))
 		}
 	}
 }
@@ -373,8 +381,9 @@
 		return c.task(tasks, func() []byte { return f.answer(c, &parsed, seat, came) })
 	}
 	r := &request{Request: parsed, router: c.router, client: c, who: c.who, acts: make(chan balance.Action, mailbox),
+		canceled: make(chan struct{}),
 		deadline: c.router.within(came + int64(max(parsed.Wait-margin, parsed.Wait/2)))}
-	return c.task(tasks, r.run)
+	return c.serve(tasks, r, r.run)
 }
 
 // unusable answers a query that can't be a request, and rests: a client that
@@ -392,9 +401,12 @@
 	return c.task(tasks, func() []byte { return answer })
 }
 
-// task runs f beside the reader and writes what it returns when its turn has
-// come, so that answers keep the order of the queries.
-func (c *client) task(tasks *sync.WaitGroup, f func() []byte) error {
+// task is serve without a request that could be canceled.
+func (c *client) task(tasks *sync.WaitGroup, f func() []byte) error { return c.serve(tasks, nil, f) }
+
+// serve runs f, which is r's if there is one, beside the reader and writes what it
+// returns when its turn has come, so that answers keep the order of the queries.
+func (c *client) serve(tasks *sync.WaitGroup, r *request, f func() []byte) error {
 	if err := c.takeSlot(); err != nil {
 		return err
 	}
@@ -407,6 +419,9 @@
 	}
 	c.busy++
 	c.asked = true
+	if r != nil {
+		c.open = append(c.open, r)
+	}
 	before, mine := c.last, make(chan struct{})
 	c.last = mine
 	c.mu.Unlock()
@@ -418,6 +433,9 @@
 				slog.Debug("client", "err", err)
 			}
 		}
+		if r != nil { // only now: a cancel that crosses the answer must not take the next request for this one
+			c.closed()
+		}
 		close(mine)
 		<-c.slots
 		c.mu.Lock()
@@ -434,6 +452,13 @@
 	return nil
 }
 
+// closed forgets the request that has its answer now: the first of the open ones, as answers keep their order.
+func (c *client) closed() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.open = slices.Delete(c.open, 0, 1)
+}
+
 // write sends bytes to the client; whoever calls has the turn.
 func (c *client) write(p []byte) error {
 	if _, err := c.out.Write(p); err != nil {
--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"net"
 	"strings"
@@ -12,6 +13,7 @@
 	"lotushook/internal/config"
 	"lotushook/internal/invariant"
 	"lotushook/internal/pgwire"
+	"lotushook/internal/ring"
 	"lotushook/internal/scenario"
 	"lotushook/internal/setup"
 )
@@ -122,23 +124,31 @@
 
 // The module's word to send and the client's leaving are there in the same moment: it is not sent, whichever is drawn.
 func TestLeavingMeetsSend(t *testing.T) {
-	r := newRouter(t, scenario.List(1, "h-1 127.0.0.1:1 1 SERVING")) // its owner does not run: events can be read
-	e := r.dir.Apply(r.conf.Known)
-	for range 64 {
-		parsed, err := pgwire.ParseRequest("/* id=01,c=read,d=20000,cluster=1 */ A")
-		if err != nil {
-			t.Fatal(err)
-		}
-		now := r.clock.now()
-		one := &request{Request: parsed, router: r, client: &client{left: make(chan struct{})}, acts: make(chan balance.Action, mailbox), deadline: now + int64(time.Hour)}
-		one.hand(balance.Action{Kind: balance.Send, Node: e.Nodes[0].Node, Up: now + int64(time.Hour), Until: now + int64(time.Hour)})
-		close(one.client.left)
-		if answer := one.run(); answer != nil {
-			t.Errorf("answer %q", answer)
-		}
-		for _, want := range []balance.EventKind{balance.RequestIn, balance.RequestGone, 0} {
-			if e := <-r.owner.events; e.Kind != want {
-				t.Fatalf("event %d, want %d", e.Kind, want)
+	for _, canceled := range []bool{false, true} {
+		r := newRouter(t, scenario.List(1, "h-1 127.0.0.1:1 1 SERVING")) // its owner does not run: events can be read
+		e := r.dir.Apply(r.conf.Known)
+		for range 64 {
+			parsed, err := pgwire.ParseRequest("/* id=01,c=read,d=20000,cluster=1 */ A")
+			if err != nil {
+				t.Fatal(err)
+			}
+			now := r.clock.now()
+			one := &request{Request: parsed, router: r, client: &client{left: make(chan struct{})}, canceled: make(chan struct{}),
+				acts: make(chan balance.Action, mailbox), deadline: now + int64(time.Hour)}
+			one.hand(balance.Action{Kind: balance.Send, Node: e.Nodes[0].Node, Up: now + int64(time.Hour), Until: now + int64(time.Hour)})
+			if canceled {
+				one.cancel()
+			} else {
+				close(one.client.left)
+			}
+			answer := one.run()
+			if strings.Contains(string(answer), pgwire.CodeQueryCanceled) != canceled {
+				t.Errorf("answer %q", answer)
+			}
+			for _, want := range []balance.EventKind{balance.RequestIn, balance.RequestGone, 0} {
+				if e := <-r.owner.events; e.Kind != want {
+					t.Fatalf("event %d, want %d", e.Kind, want)
+				}
 			}
 		}
 	}
@@ -259,3 +269,163 @@
 		t.Error("a request whose client had gone was repeated")
 	}
 }
+
+// keyOf is the key that the only client got with its welcome.
+func keyOf(t *testing.T, r *Router) (key pgwire.CancelKey) {
+	t.Helper()
+	until(t, "the client has its key", func() bool {
+		n := 0
+		r.cancels.clients.Each(func(_ int, m *map[uint32]*client) {
+			for _, c := range *m {
+				key, n = c.key, n+1
+			}
+		})
+		return n == 1
+	})
+	return key
+}
+
+// cancelRequest is the message as a raw step of a scenario.
+func cancelRequest(key pgwire.CancelKey) string {
+	b := []byte{0, 0, 0, 16, 4, 210, 22, 46}
+	b = binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(b, key.Process), key.Secret)
+	return fmt.Sprintf("raw %q", b)
+}
+
+// A CancelRequest ends the request that its key's client waits for, and nothing else.
+func TestCancelRequest(t *testing.T) {
+	const (
+		begin = `
+			send c1 startup | ` + read01 + `
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 ` + seen01
+		ask = `
+			send x {cancel}
+			expect x EOF`
+		next = `
+			send c1 ` + read02 + `
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 ` + seen02 + `
+			send s1` + value + `
+			expect c1 T | D "v" | C | Z`
+	)
+	for _, c := range []struct {
+		name   string
+		set    func(string) string
+		wrong  pgwire.CancelKey // added to the key
+		before string
+		after  string
+	}{
+		{"one that is out is called off, and the next one is served", strings.Clone, pgwire.CancelKey{}, begin,
+			"expect s1 EOF\nexpect c1 welcome | E 57014 | Z" + next},
+		{"one whose connection comes up is called off", strings.Clone, pgwire.CancelKey{},
+			"send c1 startup | " + read01 + "\nwait s1\nexpect s1 startup", "expect s1 EOF\nexpect c1 welcome | E 57014 | Z" + next},
+		{"a wrong secret is ignored", strings.Clone, pgwire.CancelKey{Secret: 1}, begin, "send s1" + value + "\nexpect c1 welcome | T | D \"v\" | C | Z"},
+		{"an unknown process is ignored", strings.Clone, pgwire.CancelKey{Process: 1}, begin, "send s1" + value + "\nexpect c1 welcome | T | D \"v\" | C | Z"},
+		{"one that is answered is not touched, nor is the next", strings.Clone, pgwire.CancelKey{},
+			begin + "\nsend s1" + value + "\nexpect c1 welcome | T | D \"v\" | C | Z", "send c1 " + read02 + "\nexpect s1 " + seen02 + "\nsend s1" + value + "\nexpect c1 T | D \"v\" | C | Z"},
+		{"only the first of those that are pipelined is called off", strings.Clone, pgwire.CancelKey{}, begin + `
+			send c1 ` + read02 + `
+			wait s1 as y
+			expect y startup
+			send y welcome
+			expect y ` + seen02, "expect s1 EOF\nsend y" + value + "\nexpect c1 welcome | E 57014 | Z | T | D \"v\" | C | Z"},
+		{"where attempts can't be called off, an answer that comes is given", noCancel, pgwire.CancelKey{}, begin,
+			"send s1" + value + "\nexpect c1 welcome | T | D \"v\" | C | Z"},
+		{"where attempts can't be called off, one that breaks is not repeated", noCancel, pgwire.CancelKey{}, begin,
+			"close s1\nexpect c1 welcome | E 57014 | Z" + next},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, r := stageSet(t, 0, endless, c.set, "h-1 {s1} 1 SERVING")
+			s.Play(c.before)
+			key := keyOf(t, r)
+			key.Process += c.wrong.Process
+			key.Secret += c.wrong.Secret
+			s.Set("cancel", cancelRequest(key))
+			s.Dial("", r.conf.Listen)
+			s.Play(ask)
+			s.Play(c.after)
+			until(t, "its connection counts no more", func() bool {
+				n := 0
+				r.each(func(*client) { n++ })
+				return n == 1
+			})
+		})
+	}
+}
+
+// A request that nothing was decided on yet is called off at once, and is never sent.
+func TestCancelBeforeDecision(t *testing.T) {
+	s, r := stageSet(t, time.Hour, endless, strings.Clone, "h-1 {s1} 1 SERVING")
+	s.Dial("", r.conf.Listen)
+	s.Play("send c1 startup | " + read01)
+	until(t, "the request has come", func() bool { return len(r.owner.events) > 1 })
+	s.Set("cancel", cancelRequest(keyOf(t, r)))
+	s.Play("send x {cancel}\nexpect x EOF\nexpect c1 welcome | E 57014 | Z")
+	s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 SERVING"))
+	s.Play("send c1 " + read02 + `
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 ` + seen02 + `
+		send s1` + value + `
+		expect c1 T | D "v" | C | Z`)
+}
+
+// Each client gets a key of its own with its welcome, and it is forgotten with its client.
+func TestCancelKeys(t *testing.T) {
+	s, r := stageSet(t, 0, endless, strings.Clone, "h-1 {s1} 1 SERVING")
+	told := map[pgwire.CancelKey]bool{}
+	var conns []net.Conn
+	for range 20 {
+		conn, err := net.Dial("tcp", r.conf.Listen)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		conns = append(conns, conn)
+		if _, err := conn.Write(pgwire.AppendStartup(nil, "worker", "catalog")); err != nil {
+			t.Fatal(err)
+		}
+		in := ring.New(1 << 10)
+		for ready := false; !ready; {
+			m, err := pgwire.Next(in)
+			if err != nil {
+				if err := in.Fill(conn); err != nil {
+					t.Fatal(err)
+				}
+				continue
+			}
+			if m.Kind == pgwire.BackendKeyData {
+				told[pgwire.CancelKey{Process: binary.BigEndian.Uint32(m.Body), Secret: binary.BigEndian.Uint32(m.Body[4:])}] = true
+			}
+			ready = m.Kind == pgwire.ReadyForQuery
+			in.Discard(m.Size)
+		}
+	}
+	held := func() (n int) {
+		r.cancels.clients.Each(func(_ int, m *map[uint32]*client) {
+			for _, c := range *m {
+				if !told[c.key] {
+					t.Errorf("key %v was not told", c.key)
+				}
+				n++
+			}
+		})
+		return n
+	}
+	if len(told) != 20 || held() != 20 || told[pgwire.CancelKey{}] {
+		t.Errorf("%d keys told, %d held", len(told), held())
+	}
+	for i, bad := range []string{`raw "\x00\x00\x00\x0c\x04\xd2\x16\x2e\x00\x00\x00\x01"`, `raw "\x00\x00\x00\x10\x04\xd2\x16\x2e\x00\x00\x00\x00\x00\x00\x00\x00"`} {
+		s.Play(fmt.Sprintf("send c%[1]d %[2]s\nexpect c%[1]d EOF", i, bad))
+	}
+	for _, conn := range conns {
+		conn.Close()
+	}
+	until(t, "no key is held", func() bool { return held() == 0 })
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -26,6 +26,7 @@
 	pgwire.Request
 	router   *Router
 	client   *client
+	canceled chan struct{} // closed once, with the client's lock held, by a CancelRequest; nil: none can name it
 	deadline balance.Nanos
 	acts     chan balance.Action
 
@@ -124,6 +125,7 @@
 		select {
 		case act = <-r.acts:
 		case <-r.client.left:
+		case <-r.canceled:
 		case <-r.router.ended:
 		case <-overdue.C:
 			select {
@@ -136,10 +138,11 @@
 				return failed("no answer in time")
 			}
 		}
-		if r.departed() { // whatever else came in the same moment
+		final := act.Kind == balance.Refuse || act.Kind == balance.Fail
+		if r.departed() && !(final && !r.hasLeft()) { // whatever else came in the same moment, but a cancel that crosses an answer
 			return r.calledOff()
 		}
-		if act.Kind != balance.Refuse && act.Kind != balance.Fail && r.router.hasEnded() {
+		if !final && r.router.hasEnded() {
 			r.tell(balance.Event{Kind: balance.RequestGone})
 			if outcome = turned; r.ran {
 				outcome = broken
@@ -185,7 +188,7 @@
 			r.router.members.mayHaveRun(r.Class, r.Key)
 		}
 		r.end.Served = res.Outcome == balance.Done
-		if res.Outcome == balance.Done && (here || r.client.fatal) {
+		if res.Outcome == balance.Done && (here || !r.hasLeft() || r.client.fatal) {
 			outcome = served
 			if r.result != nil {
 				r.result.value, r.result.served = res.Value, true
@@ -222,7 +225,7 @@
 func (r *request) await(a *backend.Attempt, act balance.Action) backend.Result {
 	late := time.NewTimer(time.Until(r.router.clock.at(act.Until)))
 	defer late.Stop()
-	left := r.client.left
+	left, canceled := r.client.left, r.canceled
 	for {
 		select {
 		case res := <-a.Done():
@@ -234,6 +237,9 @@
 		case <-left:
 			left = nil
 			r.departed() // a cancel follows, where cancels are allowed
+		case <-canceled:
+			canceled = nil
+			r.departed()
 		case act := <-r.acts:
 			if invariant.Check(act.Kind == balance.Cancel, "no action but a cancel while an attempt is open", "kind", act.Kind) {
 				return a.Abort(balance.Canceled)
@@ -245,7 +251,7 @@
 // wanted says whether the query may still go out, right before its first byte does:
 // it is asked on any goroutine, and waits for nothing.
 func (r *request) wanted() bool {
-	return !r.hasLeft() && !r.router.hasEnded()
+	return !r.hasLeft() && !r.isCanceled() && !r.router.hasEnded()
 }
 
 // hasLeft says whether the client has gone, or is only being closed for an error of its own.
@@ -258,9 +264,19 @@
 	}
 }
 
+// isCanceled says whether a CancelRequest has named the request.
+func (r *request) isCanceled() bool {
+	select {
+	case <-r.canceled:
+		return true
+	default:
+		return false
+	}
+}
+
 // departed says whether nobody waits for the answer any more, and tells the module once.
 func (r *request) departed() bool {
-	if !r.gone && r.hasLeft() {
+	if !r.gone && (r.hasLeft() || r.isCanceled()) {
 		r.gone, r.end.Gone = true, true
 		r.tell(balance.Event{Kind: balance.RequestGone})
 	}
@@ -268,9 +284,12 @@
 }
 
 // calledOff is the answer once the client has left: none, unless it is only being
-// closed for an error of its own.
+// closed for an error of its own; or once it has canceled the request.
 func (r *request) calledOff() []byte {
-	if r.client.fatal {
+	switch {
+	case !r.hasLeft():
+		return problem(pgwire.CodeQueryCanceled, "canceled on the client's request")
+	case r.client.fatal:
 		return failed("called off by an error on the connection")
 	}
 	return nil
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,7 @@
 
 	reading  *ring.Quota // for what clients have sent of messages that are not whole yet
 	members  *members    // of the installation's routers; nil: nothing is known of others
+	cancels  *cancels    // by the keys of the clients that are here
 	feeds    *feeds      // answers subscribers; nil: no class is one of feeds
 	door     *door       // decides which clients are taken; nil: all are, as far as descriptors go
 	recovery *comeback   // bounds what is done while routers come back; nil: nothing is
@@ -96,7 +97,7 @@
 	unread := conf.Limits.MemoryMB << 20 / readShare // on either side
 	r := &Router{conf: conf, dir: discovery.NewDirectory(), budget: budget.New(conf.Limits.Sockets),
 		reading: ring.NewQuota(unread), clock: newClock(), watch: discovery.NewWatcher(conf.Discovery, sharing(conf), conf.Settings.DrainGrace),
-		clients: map[*client]struct{}{}, patience: usualPatience, hold: holdFor(conf), asked: make(chan struct{}),
+		clients: map[*client]struct{}{}, cancels: newCancels(), patience: usualPatience, hold: holdFor(conf), asked: make(chan struct{}),
 		accepted: func() <-chan time.Time { return time.After(acceptAfter) }, ended: make(chan struct{})}
 	r.allowed = allowed(conf.Settings.Balance.Classes)
 	r.finish = func() <-chan time.Time { return time.After(r.allowed) }
--- a/internal/scenario/scenario.go
+++ b/internal/scenario/scenario.go
@@ -263,7 +263,7 @@
 	case "ssl":
 		return []byte{0, 0, 0, 8, 4, 210, 22, 47}, nil
 	case "welcome":
-		return pgwire.AppendWelcome(nil), nil
+		return pgwire.AppendWelcome(nil, pgwire.CancelKey{}), nil
 	case "Q":
 		return pgwire.AppendQuery(nil, text), nil
 	case "T":
--- a/internal/standin/server.go
+++ b/internal/standin/server.go
@@ -225,7 +225,7 @@
 		}
 		conn.Write([]byte{'N'})
 	}
-	if _, err := conn.Write(pgwire.AppendWelcome(nil)); err != nil {
+	if _, err := conn.Write(pgwire.AppendWelcome(nil, pgwire.CancelKey{})); err != nil {
 		return
 	}
 	for {
