Send no repeat whose window has passed during its dial

The module keeps a repeat within seven eighths of the window, counted from its send, when it decides (mayRepeat); the dial after that was not counted. With a window of 2 s and a dial that took as long, the repeat arrived after the window in which its key is dropped.

The last step before a send asks for it: a query that may have run goes out no later than the first such attempt's start, taken before its dial, plus seven eighths of the class's window; the eighth is for the way to the node. After that the attempt is skipped, and the module fails the request. By the class's effect; nothing asks for a name.

By arithmetic: the first attempt can't have begun before that start, so the repeat's first byte leaves an eighth of the window before the earliest end of it. A window of 300 ms leaves 37 ms for the way. Bytes that a cut network holds back after they were written are not bounded by this.

With the check switched off, TestRepeatAfterItsWindow failed: the repeat was sent.

--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -429,3 +429,50 @@
 	}
 	until(t, "no key is held", func() bool { return held() == 0 })
 }
+
+// What is repeated arrives within the window in which repeats are dropped, counted from when the first attempt can have
+// begun: a dial that outlasts it ends the request, and nothing is sent.
+func TestRepeatAfterItsWindow(t *testing.T) {
+	const window = 2 * time.Second // the first attempt on loopback, however slow the machine, is far under it
+	short := func(settings string) string {
+		return strings.Replace(settings, `"name":"write","objective":5000000000,"window":5000000000`,
+			fmt.Sprintf(`"name":"write","objective":5000000000,"window":%d`, window.Nanoseconds()), 1)
+	}
+	s, _ := stageSet(t, 0, endless, short, "h-1 {s1} 1 SERVING")
+	s.Play("send c1 startup | " + write01 + `
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 ` + wrote01 + `
+		close s1
+		wait s1
+		expect s1 startup`)
+	time.Sleep(window) // counted from the first attempt it is over earlier
+	s.Play(`
+		send s1 welcome
+		expect c1 welcome | E 58000 | Z
+		send c1 ` + read02 + `
+		expect s1 ` + seen02 + `
+		send s1` + value + `
+		expect c1 T | D "v" | C | Z`)
+}
+
+// The last moment of a repeat, by the class's effect and window and by nothing else.
+func TestLastRepeat(t *testing.T) {
+	r := newRouter(t, scenario.List(1))
+	for _, c := range []struct {
+		class string
+		ran   bool
+		want  balance.Nanos
+	}{
+		{"write", true, 1000e9 + 5e9 - 5e9/8},
+		{"write", false, 1<<63 - 1}, // nothing ran: there is nothing to drop
+		{"read", true, 1<<63 - 1},   // may run as often as it likes
+	} {
+		one := &request{router: r, ran: c.ran, ranAt: 1000e9}
+		one.Class = c.class
+		if got := one.lastRepeat(); got != c.want {
+			t.Errorf("%+v: %d", c, got)
+		}
+	}
+}
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"strconv"
 	"time"
 
@@ -19,6 +20,8 @@
 	margin  = 20 * time.Millisecond // of a client's wait: the way here, and the way back
 	silence = 15 * time.Millisecond // past the deadline the module's word is not waited for longer
 	mailbox = 8                     // one attempt and one final answer at a time, and what they cross
+
+	tripShare = 8 // one part in so many of a window for repeats is left for the way to the node
 )
 
 // request is one client's request; its task is run.
@@ -39,12 +42,13 @@
 	asked  contract.Request
 	held   event // the owner's: its arrival, while it waits for its turn
 	came   balance.Nanos
-	end    contract.End // the task's, before it tells its end
-	ran    bool         // the task's: an attempt may have run
-	gone   bool         // the task's: the module has been told that nobody waits any more
-	floor  ground       // the task's: what a session's read must see, and on whose word; empty where no sends are recorded
-	way    []step       // the task's: its attempts, where a line of it may be wanted
-	result *result      // the task's: what it ended with, where the router itself asked
+	end    contract.End  // the task's, before it tells its end
+	ran    bool          // the task's: an attempt may have run
+	ranAt  balance.Nanos // the task's: the first that may have run can't have begun before; 0: none may have
+	gone   bool          // the task's: the module has been told that nobody waits any more
+	floor  ground        // the task's: what a session's read must see, and on whose word; empty where no sends are recorded
+	way    []step        // the task's: its attempts, where a line of it may be wanted
+	result *result       // the task's: what it ended with, where the router itself asked
 
 	// The owner's: sends handed over, ends of attempts heard, and the last send's node.
 	sent, told int
@@ -178,7 +182,9 @@
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
 			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
 		attempts++
-		r.ran = r.ran || mayRun(res.Outcome)
+		if mayRun(res.Outcome) && !r.ran {
+			r.ran, r.ranAt = true, began
+		}
 		r.tell(done)
 		r.router.members.heard(r.Cluster, act.Node, &res)
 		switch write := set.IsWrite(r.Class); {
@@ -251,7 +257,19 @@
 // wanted says whether the query may still go out, right before its first byte does:
 // it is asked on any goroutine, and waits for nothing.
 func (r *request) wanted() bool {
-	return !r.hasLeft() && !r.isCanceled() && !r.router.hasEnded()
+	return !r.hasLeft() && !r.isCanceled() && !r.router.hasEnded() && r.router.clock.now() < r.lastRepeat()
+}
+
+// lastRepeat is when a query may go out at the latest that may have run before.
+// Repeats are dropped for a while that counts from the first attempt; the module
+// holds to it when it decides on one, and a dial may take longer than what is left.
+func (r *request) lastRepeat() balance.Nanos {
+	set := r.router.conf.Settings
+	if i := set.Class(r.Class); r.ran && set.Balance.Classes[i].Effect == balance.Keyed {
+		window := set.Balance.Classes[i].Window
+		return r.ranAt + window - window/tripShare
+	}
+	return math.MaxInt64
 }
 
 // hasLeft says whether the client has gone, or is only being closed for an error of its own.
