Cut off what a data server says without an end

Cause. conn.answer and connect read messages as long as they came: notices without an end were read at full speed up to the end of the request's time, or of the dial's.

More than the longest value and 64 KiB in one answer, or more than 64 KiB before the welcome is over, is malformed: a reset, or a refusal where no query was sent yet.

--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -30,6 +30,13 @@
 	database = "catalog"
 )
 
+// What comes beside a value is short, and so is what comes before the first query: beyond these bytes it has no end, and
+// reading on would take the time of other requests.
+const (
+	longestAnswer  = MostAnswer + 64<<10
+	longestWelcome = 64 << 10
+)
+
 // ahead is what a commit's position, which is rounded up, may be in the future.
 const ahead = 2 * time.Millisecond
 
@@ -42,6 +49,7 @@
 var (
 	errUnasked  = errors.New("the data server spoke unasked")
 	errUnwanted = errors.New("no time is left, or nobody waits for it")
+	errEndless  = fmt.Errorf("%w: what has no end", pgwire.ErrMalformed)
 	errDrains   = errors.New("the node drains")
 )
 
@@ -208,11 +216,14 @@
 	if _, err := conn.Write(pgwire.AppendStartup(nil, user, database)); err != nil {
 		return Result{Outcome: balance.Refused, Err: err}
 	}
-	for {
+	for heard := 0; ; {
 		m, err := c.message()
 		if err != nil {
 			return Result{Outcome: balance.Refused, Err: err}
 		}
+		if heard += m.Size; heard > longestWelcome {
+			return Result{Outcome: balance.Refused, Err: errEndless}
+		}
 		switch m.Kind {
 		case pgwire.ReadyForQuery:
 			c.in.Discard(m.Size)
@@ -409,11 +420,14 @@
 		}
 		return a, res, false
 	}
-	for {
+	for heard := 0; ; {
 		m, err := c.reply(row != nil || res.Outcome != 0)
 		if err != nil {
 			return fail(err)
 		}
+		if heard += m.Size; heard > longestAnswer {
+			return fail(errEndless)
+		}
 		a = c.current()
 		switch m.Kind {
 		case pgwire.ParameterStatus:
