--- a/internal/backend/laststep_test.go
+++ b/internal/backend/laststep_test.go
@@ -254,3 +254,39 @@
 		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
 	}
 }
+
+// A node that was replaced under its old name listens elsewhere: the connections to the old one are not used again.
+func TestReplacedUnderItsName(t *testing.T) {
+	s, p, d := stage(t, 1024)
+	other := scenario.New(t, "s")
+	a := p.try()
+	s.Play(greeted + served)
+	<-a.Done()
+	d.mu.Lock()
+	d.dial = other.Addr("s")
+	d.mu.Unlock()
+	a = p.try()
+	other.Play(greeted + served)
+	if res := <-a.Done(); res.Outcome != balance.Done {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+	p.retire(time.Time{})
+	s.Play("expect s EOF")
+}
+
+// A node that died and is back on its address: what was open to the one before shows its end as it is taken, and the
+// attempt goes on with the new one.
+func TestBackOnItsAddress(t *testing.T) {
+	s, p, _ := stage(t, 1024)
+	a, b := p.try(), p.try()
+	s.Play("wait s as x\nwait s as y\nexpect x startup\nexpect y startup\nsend x welcome\nsend y welcome\nexpect x Q \"A\"\nexpect y Q \"A\"\n" +
+		`send x T | D "v" | C | Z` + "\n" + `send y T | D "v" | C | Z`)
+	<-a.Done()
+	<-b.Done()
+	s.Play("close x\nclose y")
+	a = p.try()
+	s.Play(greeted + served)
+	if res := <-a.Done(); res.Outcome != balance.Done {
+		t.Errorf("outcome %d, %v", res.Outcome, res.Err)
+	}
+}
--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"fmt"
+	"hash/fnv"
 	"net"
 	"strings"
 	"testing"
@@ -476,3 +477,46 @@
 		}
 	}
 }
+
+// A drain crosses a write that is out: its answer still counts, a repeat goes elsewhere, and so does the next one.
+func TestDrainCrossesWrite(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		s, r := stageSet(t, 0, endless, strings.Clone, "h-1 {s1} 1 SERVING")
+		s.Play("send c1 startup | " + write01 + `
+			wait s1
+			expect s1 startup
+			send s1 welcome
+			expect s1 ` + wrote01)
+		s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 DRAINING", "h-2 {s2} 1 SERVING"))
+		known := r.conf.Known.Hosts[0].Host
+		until(t, "the drain is known", func() bool {
+			_, ready := r.dir.Address(nodeOf(known))
+			return !ready
+		})
+		const go2 = `
+			wait s2
+			expect s2 startup
+			send s2 welcome
+			expect s2 `
+		const took = `
+			send s2 T | D "w" | C | S rank=source | Z
+			expect c1 `
+		if broken {
+			s.Play("close s1" + go2 + wrote01 + took + `welcome | T | D "w" | C | Z`)
+		} else {
+			s.Play(`send s1 T | D "v" | C | S rank=source | Z
+				expect c1 welcome | T | D "v" | C | Z
+				send c1 Q "/* id=02,c=write,d=20000,k=ac,cluster=1 */ B"` + go2 + `Q "/* id=02,c=write,d=#,k=ac,cluster=1 */ B"` + took + `T | D "w" | C | Z`)
+		}
+		if s.Met("s1") {
+			t.Error("a draining server got a connection")
+		}
+	}
+}
+
+// nodeOf is the number of a host, where no two share a hash.
+func nodeOf(host string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(host))
+	return h.Sum32()
+}
