--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -7,6 +7,7 @@
 	"hash/maphash"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"syscall"
@@ -29,6 +30,13 @@
 	database = "catalog"
 )
 
+// What comes beside a value is short, and so is what comes before the first query: beyond these bytes it has no end, and
+// reading on would take the time of other requests.
+const (
+	longestAnswer  = MostAnswer + 64<<10
+	longestWelcome = 64 << 10
+)
+
 // ahead is what a commit's position, which is rounded up, may be in the future.
 const ahead = 2 * time.Millisecond
 
@@ -38,7 +46,12 @@
 
 var errTurn = errors.New("no turn to dial")
 
-var errUnasked = errors.New("the data server spoke unasked")
+var (
+	errUnasked  = errors.New("the data server spoke unasked")
+	errUnwanted = errors.New("no time is left, or nobody waits for it")
+	errEndless  = fmt.Errorf("%w: what has no end", pgwire.ErrMalformed)
+	errDrains   = errors.New("the node drains")
+)
 
 // conn is one connection to a data server. Its goroutine dials, and then reads
 // for as long as the connection lives, so that its end is seen while it idles.
@@ -60,10 +73,15 @@
 	closed bool
 	before uint64 // only the goroutine's: the hash of the row of the answer before
 	freed  sync.Once
+
+	// For each attempt that is bound to the connection, once: whether its query went out whole. Who writes it may be
+	// another goroutine than the one that reads, and what is read tells nothing of a query that was not there.
+	sent chan bool
 }
 
 func newConn(p *Pool, node uint32, dial string) *conn {
-	return &conn{pool: p, node: node, dial: dial, in: ring.New(MostAnswer).Within(p.Reading), out: ring.New(1 << 20)}
+	return &conn{pool: p, node: node, dial: dial, in: ring.New(MostAnswer).Within(p.Reading), out: ring.New(1 << 20),
+		sent: make(chan bool, 1)}
 }
 
 // close ends the connection; the goroutine sees it and cleans up.
@@ -103,6 +121,11 @@
 		}
 		if !keep {
 			c.close()
+		}
+		if !c.whole() { // who writes sees to the attempt
+			return
+		}
+		if !keep {
 			a.finish(res)
 			return
 		}
@@ -119,6 +142,19 @@
 	}
 }
 
+// whole waits for the end of the writing of a query, and says whether all of it went out: whatever came back of one
+// that did not was no answer to it. A server that answers and does not take the rest is not waited for long.
+func (c *conn) whole() bool {
+	select {
+	case whole := <-c.sent: // as nearly always
+		return whole
+	default:
+	}
+	late := time.AfterFunc(c.pool.Stall, c.close)
+	defer late.Stop()
+	return <-c.sent
+}
+
 // dialled is how connect's outcome counts.
 func dialled(o balance.Outcome) tally.Counter {
 	switch o {
@@ -180,11 +216,14 @@
 	if _, err := conn.Write(pgwire.AppendStartup(nil, user, database)); err != nil {
 		return Result{Outcome: balance.Refused, Err: err}
 	}
-	for {
+	for heard := 0; ; {
 		m, err := c.message()
 		if err != nil {
 			return Result{Outcome: balance.Refused, Err: err}
 		}
+		if heard += m.Size; heard > longestWelcome {
+			return Result{Outcome: balance.Refused, Err: errEndless}
+		}
 		switch m.Kind {
 		case pgwire.ReadyForQuery:
 			c.in.Discard(m.Size)
@@ -292,39 +331,76 @@
 	return waits || err != nil
 }
 
-// begin writes an attempt's query, unless the attempt is over or its node is not
-// to get anything new: a slow dial can outlast the news of a drain.
+// begin writes an attempt's query, unless bind finds that it may not. A connection that turns out to be spoilt before the
+// query went out whole is another one's turn, and the attempt is still the same.
 func (c *conn) begin(a *Attempt) {
-	if _, ready := c.pool.Directory.Address(c.node); !ready {
-		a.finish(Result{Outcome: balance.Busy, Err: errors.New("the node drains")})
+	rested := !c.idleAt.IsZero()
+	err := a.word(c.out) // before bind, so that nothing lies between that and the first byte
+	if err != nil {
+		c.drop()
+		c.back()
+		a.finish(Result{Outcome: notSent, Err: fmt.Errorf("write: %w", err)})
+		return
+	}
+	how := a.bind(c)
+	if how != bound {
+		c.drop()
 	}
-	switch a.bind(c) {
+	switch how {
 	case over:
-		if !c.pool.put(c) {
-			c.close()
-		}
+		c.back()
+		return
+	case unwanted:
+		c.back()
+		a.finish(Result{Outcome: notSent, Err: errUnwanted})
+		return
+	case banned:
+		c.back()
+		a.finish(Result{Outcome: balance.Busy, Err: errDrains})
+		return
+	case moved:
+		c.close()
+		c.pool.start(a)
 		return
 	case spoilt:
 		c.close()
-		if c.idleAt.IsZero() { // new, and nothing was written on it
-			a.finish(Result{Outcome: balance.Refused, Err: errUnasked})
-		} else {
+		if rested {
 			c.pool.start(a)
+		} else { // new, and nothing was written on it
+			a.finish(Result{Outcome: balance.Refused, Err: errUnasked})
 		}
 		return
 	}
 	c.net.SetWriteDeadline(a.until)
-	err := a.word(c.out)
-	whole := false
-	if err == nil {
-		_, err = c.out.WriteTo(c.net)
-		whole = c.out.Len() == 0
+	_, err = c.out.WriteTo(c.net)
+	whole := c.out.Len() == 0
+	c.drop()
+	if whole {
+		c.sent <- true
+		return
+	}
+	c.close()
+	goesOn := a.unbind()
+	c.sent <- false
+	switch {
+	case !goesOn:
+	case rested && !errors.Is(err, os.ErrDeadlineExceeded):
+		c.pool.start(a)
+	default:
+		a.finish(Result{Outcome: balance.Refused, Err: fmt.Errorf("write: %w", err)})
 	}
+}
+
+// drop forgets what is left of a query.
+func (c *conn) drop() {
 	c.out.Discard(c.out.Len())
 	c.out.Idle()
-	if err != nil && !whole {
+}
+
+// back returns a connection that nothing was written on.
+func (c *conn) back() {
+	if !c.pool.put(c) {
 		c.close()
-		a.finish(Result{Outcome: balance.Refused, Err: fmt.Errorf("write: %w", err)})
 	}
 }
 
@@ -344,11 +420,14 @@
 		}
 		return a, res, false
 	}
-	for {
+	for heard := 0; ; {
 		m, err := c.reply(row != nil || res.Outcome != 0)
 		if err != nil {
 			return fail(err)
 		}
+		if heard += m.Size; heard > longestAnswer {
+			return fail(errEndless)
+		}
 		a = c.current()
 		switch m.Kind {
 		case pgwire.ParameterStatus:
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 	"strconv"
 	"time"
 
@@ -19,6 +20,8 @@
 	margin  = 20 * time.Millisecond // of a client's wait: the way here, and the way back
 	silence = 15 * time.Millisecond // past the deadline the module's word is not waited for longer
 	mailbox = 8                     // one attempt and one final answer at a time, and what they cross
+
+	tripShare = 8 // one part in so many of a window for repeats is left for the way to the node
 )
 
 // request is one client's request; its task is run.
@@ -26,6 +29,7 @@
 	pgwire.Request
 	router   *Router
 	client   *client
+	canceled chan struct{} // closed once, with the client's lock held, by a CancelRequest; nil: none can name it
 	deadline balance.Nanos
 	acts     chan balance.Action
 
@@ -38,11 +42,13 @@
 	asked  contract.Request
 	held   event // the owner's: its arrival, while it waits for its turn
 	came   balance.Nanos
-	end    contract.End // the task's, before it tells its end
-	ran    bool         // the task's: an attempt may have run
-	floor  ground       // the task's: what a session's read must see, and on whose word; empty where no sends are recorded
-	way    []step       // the task's: its attempts, where a line of it may be wanted
-	result *result      // the task's: what it ended with, where the router itself asked
+	end    contract.End  // the task's, before it tells its end
+	ran    bool          // the task's: an attempt may have run
+	ranAt  balance.Nanos // the task's: the first that may have run can't have begun before; 0: none may have
+	gone   bool          // the task's: the module has been told that nobody waits any more
+	floor  ground        // the task's: what a session's read must see, and on whose word; empty where no sends are recorded
+	way    []step        // the task's: its attempts, where a line of it may be wanted
+	result *result       // the task's: what it ended with, where the router itself asked
 
 	// The owner's: sends handed over, ends of attempts heard, and the last send's node.
 	sent, told int
@@ -123,9 +129,7 @@
 		select {
 		case act = <-r.acts:
 		case <-r.client.left:
-			r.tell(balance.Event{Kind: balance.RequestGone})
-			r.end.Gone = true
-			return r.calledOff()
+		case <-r.canceled:
 		case <-r.router.ended:
 		case <-overdue.C:
 			select {
@@ -138,7 +142,11 @@
 				return failed("no answer in time")
 			}
 		}
-		if act.Kind != balance.Refuse && act.Kind != balance.Fail && r.router.hasEnded() {
+		final := act.Kind == balance.Refuse || act.Kind == balance.Fail
+		if r.departed() && !(final && !r.hasLeft()) { // whatever else came in the same moment, but a cancel that crosses an answer
+			return r.calledOff()
+		}
+		if !final && r.router.hasEnded() {
 			r.tell(balance.Event{Kind: balance.RequestGone})
 			if outcome = turned; r.ran {
 				outcome = broken
@@ -167,13 +175,16 @@
 		// One attempt, and never another while it is open.
 		r.router.members.sent(r, act)
 		began := r.router.clock.now()
-		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Up), r.router.clock.at(act.Until), r.word)
-		res, here := r.await(a, act)
+		a := r.router.pool.Start(act.Node, r.router.clock.at(act.Up), r.router.clock.at(act.Until), r.word, r.wanted)
+		res := r.await(a, act)
+		here := !r.departed()
 		r.note(act, began, &res)
 		done := balance.Event{Kind: balance.AttemptDone, Attempt: attempts, Node: act.Node, Outcome: res.Outcome,
 			Role: res.Role, Position: res.Position, Finished: res.Outcome == balance.Done}
 		attempts++
-		r.ran = r.ran || mayRun(res.Outcome)
+		if mayRun(res.Outcome) && !r.ran {
+			r.ran, r.ranAt = true, began
+		}
 		r.tell(done)
 		r.router.members.heard(r.Cluster, act.Node, &res)
 		switch write := set.IsWrite(r.Class); {
@@ -182,8 +193,8 @@
 		case write && mayRun(res.Outcome):
 			r.router.members.mayHaveRun(r.Class, r.Key)
 		}
-		r.end.Served, r.end.Gone = res.Outcome == balance.Done, !here
-		if res.Outcome == balance.Done && (here || r.client.fatal) {
+		r.end.Served = res.Outcome == balance.Done
+		if res.Outcome == balance.Done && (here || !r.hasLeft() || r.client.fatal) {
 			outcome = served
 			if r.result != nil {
 				r.result.value, r.result.served = res.Value, true
@@ -216,34 +227,87 @@
 }
 
 // await waits for an attempt's end: its answer, its time, the module's cancel,
-// or the client's leaving, after which here is false.
-func (r *request) await(a *backend.Attempt, act balance.Action) (res backend.Result, here bool) {
+// or the client's leaving, which the module is told at once.
+func (r *request) await(a *backend.Attempt, act balance.Action) backend.Result {
 	late := time.NewTimer(time.Until(r.router.clock.at(act.Until)))
 	defer late.Stop()
-	left, here := r.client.left, true
+	left, canceled := r.client.left, r.canceled
 	for {
 		select {
-		case res = <-a.Done():
-			return res, here
+		case res := <-a.Done():
+			return res
 		case <-late.C:
-			return a.Abort(balance.TimedOut), here
+			return a.Abort(balance.TimedOut)
 		case <-r.router.ended:
-			return a.Abort(balance.TimedOut), here
+			return a.Abort(balance.Canceled)
 		case <-left:
-			left, here = nil, false
-			r.tell(balance.Event{Kind: balance.RequestGone}) // a cancel follows, where cancels are allowed
+			left = nil
+			r.departed() // a cancel follows, where cancels are allowed
+		case <-canceled:
+			canceled = nil
+			r.departed()
 		case act := <-r.acts:
 			if invariant.Check(act.Kind == balance.Cancel, "no action but a cancel while an attempt is open", "kind", act.Kind) {
-				return a.Abort(balance.Canceled), here
+				return a.Abort(balance.Canceled)
 			}
 		}
 	}
 }
 
+// wanted says whether the query may still go out, right before its first byte does:
+// it is asked on any goroutine, and waits for nothing.
+func (r *request) wanted() bool {
+	return !r.hasLeft() && !r.isCanceled() && !r.router.hasEnded() && r.router.clock.now() < r.lastRepeat()
+}
+
+// lastRepeat is when a query may go out at the latest that may have run before.
+// Repeats are dropped for a while that counts from the first attempt; the module
+// holds to it when it decides on one, and a dial may take longer than what is left.
+func (r *request) lastRepeat() balance.Nanos {
+	set := r.router.conf.Settings
+	if i := set.Class(r.Class); r.ran && set.Balance.Classes[i].Effect == balance.Keyed {
+		window := set.Balance.Classes[i].Window
+		return r.ranAt + window - window/tripShare
+	}
+	return math.MaxInt64
+}
+
+// hasLeft says whether the client has gone, or is only being closed for an error of its own.
+func (r *request) hasLeft() bool {
+	select {
+	case <-r.client.left:
+		return true
+	default:
+		return false
+	}
+}
+
+// isCanceled says whether a CancelRequest has named the request.
+func (r *request) isCanceled() bool {
+	select {
+	case <-r.canceled:
+		return true
+	default:
+		return false
+	}
+}
+
+// departed says whether nobody waits for the answer any more, and tells the module once.
+func (r *request) departed() bool {
+	if !r.gone && (r.hasLeft() || r.isCanceled()) {
+		r.gone, r.end.Gone = true, true
+		r.tell(balance.Event{Kind: balance.RequestGone})
+	}
+	return r.gone
+}
+
 // calledOff is the answer once the client has left: none, unless it is only being
-// closed for an error of its own.
+// closed for an error of its own; or once it has canceled the request.
 func (r *request) calledOff() []byte {
-	if r.client.fatal {
+	switch {
+	case !r.hasLeft():
+		return problem(pgwire.CodeQueryCanceled, "canceled on the client's request")
+	case r.client.fatal:
 		return failed("called off by an error on the connection")
 	}
 	return nil
