Linger over unread bytes at a close, so that no reset overtakes an answer

Cause: client.run ended a client that had heard a FATAL with Close, also where more of it stood unread behind what caused the error; and `ends` closed a connection right behind its last answer, also where its client sends without waiting and more came in that moment. Either close resets the connection, and what the system had not delivered yet goes with it. Seen: of an answer of 60 KB 6,311 bytes arrived, then a reset. Ruled out: small writes held back (TCP_NODELAY is set on accepted connections, TestNoDelay); a request in the moment of an idle close, an eviction or a stop is not sent on (TestRequestCrossesClose); a dial that is under way and an answer that is half written at SIGTERM (new rows of TestPlannedRestart).

Change: in these two cases the sending ends first, and what still comes is read and dropped, for 250 ms and 1 MiB at most; nothing of it is served. A client that waits for its answers has them by the time that more of it comes: its close is as before, what crosses it stays unread, so that it is sent elsewhere. Nobody wakes a reader that lingers; the door ends its wait for the place.

The turnstile of the tests stops a write and a close too; `endless` got a linger of 1 ms. No check of an existing test has changed.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -37,10 +37,12 @@
 	open    time.Duration // open requests hold a fatal error up for so long
 	fresh   time.Duration // from a router that stops, a client that has not asked yet has so long to ask
 	last    time.Duration // and at the very end all have so long to take their answers
+	linger  time.Duration // after the last word the connection is read to its end for so long
 }
 
 var usualPatience = patience{message: 2 * time.Second, write: 5 * time.Second, idle: 2250 * time.Millisecond, spare: 100 * time.Millisecond,
-	green: 20 * time.Millisecond, open: 500 * time.Millisecond, fresh: 500 * time.Millisecond, last: 100 * time.Millisecond}
+	green: 20 * time.Millisecond, open: 500 * time.Millisecond, fresh: 500 * time.Millisecond, last: 100 * time.Millisecond,
+	linger: 250 * time.Millisecond}
 
 // client is one connection of a client: a goroutine that reads it, and a task
 // for each request. Only the reader ends the connection, whoever wants it ended:
@@ -71,6 +73,9 @@
 	overdue bool // a query, or the rest of a message, has not come in time
 	leave   bool // it is to end the connection, if nothing is open or has come
 	pushed  bool // with leave: the door has given its place away
+
+	pipelines bool // it has sent a query without waiting for the answer before it
+	closing   bool // the reader is closing the connection: nobody wakes it any more
 }
 
 func newClient(r *Router, conn net.Conn) *client {
@@ -109,10 +114,35 @@
 	if c.fatal {
 		c.write(pgwire.AppendError(behind, "FATAL", code, err.Error(), wait))
 	}
+	if c.fatal || c.pipelines && errors.Is(err, errDone) {
+		c.lingeringClose()
+	}
 	c.conn.Close()
 	c.router.gone(c)
 }
 
+// lingeringClose ends the sending and then reads and drops what still comes, up to the client's own end and within bounds in time
+// and bytes. Closed over unread bytes, the connection would be reset, and the reset can overtake what was written. Nothing that is
+// read here is served: its answer could not arrive any more.
+//
+// It is for who has heard an error, as more may stand behind what caused it, and for who sends without waiting. Any other client
+// has all its answers by the time that more of it comes; what crosses its close stays unread, so that it may send it elsewhere.
+func (c *client) lingeringClose() {
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	c.closing = true
+	c.conn.SetReadDeadline(time.Now().Add(c.router.patience.linger))
+	c.mu.Unlock()
+	for dropped := 0; dropped < c.in.Cap(); dropped += c.in.Discard(c.in.Len()) {
+		if c.in.Fill(c.conn) != nil {
+			return
+		}
+	}
+}
+
 // fatalCode is the code of the error that a client hears before its connection
 // is closed, none where it closed or has gone; and when to come again, as the
 // field D tells it.
@@ -169,6 +199,10 @@
 func (c *client) putOut(away *turnedAway) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing { // its last word is said, and its place is wanted now
+		c.conn.SetReadDeadline(longAgo)
+		return
+	}
 	c.away = away
 	c.leave, c.pushed = c.leave || away == nil, away == nil
 	c.conn.SetReadDeadline(longAgo)
@@ -218,7 +252,9 @@
 	case c.away != nil || c.overdue:
 		return err
 	case c.leave && c.busy == 0 && !half:
-		c.conn.Close()
+		if !c.pipelines { // or lingeringClose does it
+			c.conn.Close()
+		}
 		return errDone
 	case c.pushed:
 		return c.router.door.pushed(c)
@@ -238,6 +274,7 @@
 	defer c.mu.Unlock()
 	p := &c.router.patience
 	switch {
+	case c.closing:
 	case !c.asked && now.Sub(c.idleAt) > p.message, !c.halfAt.IsZero() && now.Sub(c.halfAt) > p.message:
 		c.overdue = true // the reader says so and ends
 		c.conn.SetReadDeadline(longAgo)
@@ -412,6 +449,7 @@
 			return err
 		}
 	}
+	c.pipelines = c.pipelines || c.busy > 0
 	c.busy++
 	c.asked = true
 	before, mine := c.last, make(chan struct{})
@@ -463,7 +501,7 @@
 func (c *client) idleSince() (at time.Time, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleAt, c.asked, c.busy == 0 && !c.leave
+	return c.idleAt, c.asked, c.busy == 0 && !c.leave && !c.closing
 }
 
 // closeIfIdle has the reader close the connection, unless a request is open or
@@ -476,7 +514,7 @@
 
 // leaveIfIdle is closeIfIdle with the lock held.
 func (c *client) leaveIfIdle() {
-	if c.busy == 0 && !c.leave {
+	if c.busy == 0 && !c.leave && !c.closing {
 		c.leave = true
 		c.conn.SetReadDeadline(longAgo)
 	}
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -13,7 +14,7 @@
 	"lotushook/internal/setup"
 )
 
-// turnstile is a listener that stops, when told to, who passes one of three places, until it is let go.
+// turnstile is a listener that stops, when told to, who passes one of these places, until it is let go.
 type turnstile struct {
 	*net.TCPListener
 	mu      sync.Mutex
@@ -22,12 +23,15 @@
 	leave   chan struct{}
 	woken   chan struct{} // the listener was told to stop
 	wake    sync.Once
+	broken  bool // what is written to a connection fails
 }
 
 const (
 	atAccept = "accept" // before a connection is taken
 	atRead   = "read"   // before a connection's socket is read; there is something to read once it goes on
 	atBytes  = "bytes"  // with what was read of a connection
+	atWrite  = "write"  // with half of what is to be written to a connection written
+	atClose  = "close"  // before a connection is closed, or its sending ended; there is something to read once it goes on
 )
 
 func newTurnstile(t *testing.T) *turnstile {
@@ -97,11 +101,7 @@
 }
 
 func (c *stopped) Read(p []byte) (int, error) {
-	if c.gate.pass(atRead) {
-		for end := time.Now().Add(30 * time.Second); time.Now().Before(end) && !c.readable(); {
-			time.Sleep(time.Millisecond)
-		}
-	}
+	c.passReadable(atRead)
 	n, err := c.TCPConn.Read(p)
 	if n > 0 {
 		c.gate.pass(atBytes)
@@ -109,6 +109,41 @@
 	return n, err
 }
 
+// passReadable goes on from a place once there is something to read.
+func (c *stopped) passReadable(place string) {
+	if c.gate.pass(place) {
+		for end := time.Now().Add(30 * time.Second); time.Now().Before(end) && !c.readable(); {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+func (c *stopped) Write(p []byte) (int, error) {
+	c.gate.mu.Lock()
+	broken := c.gate.broken
+	c.gate.mu.Unlock()
+	if broken {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.TCPConn.Write(p[:len(p)/2])
+	if err != nil {
+		return n, err
+	}
+	c.gate.pass(atWrite)
+	m, err := c.TCPConn.Write(p[n:])
+	return n + m, err
+}
+
+func (c *stopped) CloseWrite() error {
+	c.passReadable(atClose)
+	return c.TCPConn.CloseWrite()
+}
+
+func (c *stopped) Close() error {
+	c.passReadable(atClose)
+	return c.TCPConn.Close()
+}
+
 func (c *stopped) readable() bool {
 	return raw(c, func(fd int) bool {
 		n, _, _ := syscall.Recvfrom(fd, make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
@@ -133,10 +168,11 @@
 		idle = `
 			send c1 startup | Q ""
 			expect c1 welcome | I | Z`
-		open = `
+		dialing = `
 			send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
 			wait s1
-			expect s1 startup
+			expect s1 startup`
+		open = dialing + `
 			send s1 welcome
 			expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`
 	)
@@ -171,6 +207,18 @@
 			over: `
 			expect c1 welcome | E 58000 | Z | EOF
 			expect s1 EOF`},
+		{guards: "a connection to a data server is being made: its answer", before: dialing, stopped: `
+			send s1 welcome
+			expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+			send s1 T | D "v" | C | S rank=copy | Z
+			expect c1 welcome | T | D "v" | C | Z | EOF`},
+		{guards: "a connection to a data server is being made, and never is: refused in the end, as nothing ran", before: dialing,
+			over: `
+			expect c1 welcome | E 53300 | Z | EOF
+			expect s1 EOF`},
+		{guards: "its answer is half written: all of it arrives", before: open, at: atWrite, sent: `
+			send s1 T | D "v" | C | S rank=copy | Z`, stopped: `
+			expect c1 T | D "v" | C | Z | EOF`},
 		{guards: "the module holds it: served once there is a server", before: `
 			send c1 startup | Q "/* id=01,c=read,d=20000,cluster=2 */ A"
 			expect c1 welcome
@@ -229,6 +277,11 @@
 				case atAccept:
 					s.Play(c.sent)
 					<-ln.reached
+				case atWrite:
+					s.Play(`expect c1 welcome`)
+					ln.shut(atWrite)
+					s.Play(c.sent)
+					<-ln.reached
 				case atBytes:
 					ln.shut(atBytes)
 					s.Play(c.sent)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -39,7 +39,7 @@
 
 // endless is the patience of tests that are not about it.
 var endless = patience{message: time.Hour, write: time.Hour, idle: time.Hour, spare: time.Hour, green: time.Hour, open: time.Millisecond,
-	fresh: time.Hour, last: time.Hour}
+	fresh: time.Hour, last: time.Hour, linger: time.Millisecond}
 
 // stage is a running router with data servers s1 and s2 in group 1 and a silent
 // agent; clients are named c.
--- /dev/null
+++ b/internal/router/shutdown_test.go
@@ -0,0 +1,229 @@
+package router
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"lotushook/internal/pgwire"
+	"lotushook/internal/scenario"
+	"lotushook/internal/setup"
+)
+
+// stageStopped is a running router on a turnstile, with data servers s1 and s2 of which s2 drains; told to stop, it takes no new
+// clients, and has until finish for what is open.
+func stageStopped(t *testing.T, ln *turnstile, finish <-chan time.Time, p patience) (s *scenario.Stage, r *Router, stop func(), done <-chan error) {
+	t.Helper()
+	accepted := make(chan time.Time)
+	close(accepted)
+	return stageOn(t, ln, 0, &setup.Setup{}, accepted, finish, p, "h-1 {s1} 1 SERVING", "h-2 {s2} 2 DRAINING")
+}
+
+// slowClient is a connection whose machine takes little before it is read.
+func slowClient(t *testing.T, addr string) net.Conn {
+	t.Helper()
+	d := net.Dialer{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if e := c.Control(func(fd uintptr) { err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10) }); e != nil {
+			return e
+		}
+		return err
+	}}
+	conn, err := d.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(60 * time.Second))
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func say(t *testing.T, conn net.Conn, p []byte) {
+	t.Helper()
+	if _, err := conn.Write(p); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// hearAll reads a connection to its end, which has to be an orderly one.
+func hearAll(t *testing.T, conn net.Conn) string {
+	t.Helper()
+	got, err := io.ReadAll(conn)
+	if err != nil {
+		t.Errorf("after %d bytes: %v", len(got), err)
+	}
+	return string(got)
+}
+
+// unread says whether some client's socket holds bytes that the router has not read.
+func unread(r *Router) bool {
+	found := false
+	r.each(func(c *client) { found = found || c.conn.(*stopped).readable() })
+	return found
+}
+
+// connected is how many clients the router has.
+func connected(r *Router) int {
+	n := 0
+	r.each(func(*client) { n++ })
+	return n
+}
+
+// A bad client hears its error, and what it had asked before, though more of it stands unread behind the error: the connection
+// comes to an orderly end.
+func TestErrorBeforeUnreadBytes(t *testing.T) {
+	ln := newTurnstile(t)
+	p := endless
+	p.linger = time.Hour
+	_, r, _, _ := stageStopped(t, ln, nil, p)
+	ln.shut(atBytes)
+	conn := slowClient(t, ln.Addr().String())
+	all := pgwire.AppendQuery(pgwire.AppendStartup(nil, "worker", "catalog"), "")
+	say(t, conn, append(pgwire.Append(all, 'y', nil), make([]byte, 64<<10)...))
+	<-ln.reached
+	until(t, "more than is read at a time has come", func() bool { return unread(r) })
+	ln.open()
+	if got := hearAll(t, conn); strings.Count(got, "Z\x00\x00\x00\x05I") != 2 || !strings.Contains(got, "SFATAL\x00") {
+		t.Errorf("heard %q", got)
+	}
+	conn.Close()
+	until(t, "its end is seen", func() bool { return connected(r) == 0 })
+}
+
+// Neither who sends on without an end nor who rests after an error holds the connection: the one is bounded in bytes, the other in
+// time.
+func TestLingerBounds(t *testing.T) {
+	bad := pgwire.Append(pgwire.AppendStartup(nil, "worker", "catalog"), 'y', nil)
+	p := endless
+	p.linger = time.Hour
+	ln := newTurnstile(t)
+	stageStopped(t, ln, nil, p)
+	conn := slowClient(t, ln.Addr().String())
+	say(t, conn, bad)
+	for more := make([]byte, 64<<10); ; {
+		if _, err := conn.Write(more); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Error("it may send for ever")
+			}
+			break
+		}
+	}
+
+	p.linger = time.Millisecond
+	ln = newTurnstile(t)
+	_, r, _, _ := stageStopped(t, ln, nil, p)
+	conn = slowClient(t, ln.Addr().String())
+	say(t, conn, bad)
+	if got := hearAll(t, conn); !strings.Contains(got, "SFATAL\x00") {
+		t.Errorf("heard %q", got)
+	}
+	until(t, "who rests is closed", func() bool { return connected(r) == 0 })
+}
+
+// The last answer to a client that sends without waiting is still on its way when the router closes the connection and more comes
+// in that very moment: the answer arrives whole, and what came is not sent on.
+func TestAnswerInFlightAtClose(t *testing.T) {
+	ln := newTurnstile(t)
+	p := endless
+	p.linger = time.Hour
+	s, r, stop, done := stageStopped(t, ln, nil, p)
+	value := strings.Repeat("v", 60<<10)
+	s.Set("value", value)
+	conn := slowClient(t, ln.Addr().String())
+	ask := pgwire.AppendQuery(pgwire.AppendStartup(nil, "worker", "catalog"), "/* id=01,c=read,d=20000,cluster=1 */ A")
+	say(t, conn, pgwire.AppendQuery(ask, ""))
+	s.Play(`
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	open := func() int {
+		n := 0
+		r.each(func(c *client) {
+			c.mu.Lock()
+			n += c.busy
+			c.mu.Unlock()
+		})
+		return n
+	}
+	until(t, "both are taken", func() bool { return open() == 2 })
+	s.Play(`send s1 T | D "{value}" | C | S rank=copy | Z`)
+	until(t, "both are answered", func() bool { return open() == 0 })
+	ln.shut(atClose)
+	stop()
+	<-ln.reached
+	say(t, conn, pgwire.AppendQuery(nil, "/* id=02,c=read,d=20000,cluster=1 */ A"))
+	ln.open()
+	if got := hearAll(t, conn); !strings.Contains(got, value) || !strings.HasSuffix(got, "I\x00\x00\x00\x04Z\x00\x00\x00\x05I") {
+		t.Errorf("heard %d bytes, at the end %q", len(got), got[max(0, len(got)-20):])
+	}
+	conn.Close()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	s.Play(`expect s1 EOF`)
+	if s.Met("s1") {
+		t.Error("the request that crossed the close was sent on")
+	}
+}
+
+// A request that comes in the moment of a close is not sent on and gets no answer, so that its client may send it elsewhere:
+// whoever wants the connection closed.
+func TestRequestCrossesClose(t *testing.T) {
+	p := endless
+	p.spare = 0
+	for name, closes := range map[string]func(r *Router, stop func()){
+		"idle":    func(r *Router, _ func()) { r.each(func(c *client) { c.expire(time.Now().Add(2*p.idle), false) }) },
+		"evicted": func(r *Router, _ func()) { r.evictClient(time.Now().Add(time.Minute), 0) },
+		"stopped": func(_ *Router, stop func()) { stop() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			ln := newTurnstile(t)
+			s, r, stop, _ := stageStopped(t, ln, nil, p)
+			ln.shut(atClose)
+			s.Play(`
+				send c1 startup | Q ""
+				expect c1 welcome | I | Z`)
+			until(t, "it idles", func() bool {
+				idle := false
+				r.each(func(c *client) {
+					c.mu.Lock()
+					idle = idle || c.busy == 0
+					c.mu.Unlock()
+				})
+				return idle
+			})
+			closes(r, stop)
+			<-ln.reached
+			s.Play(`send c1 Q "/* id=01,c=read,d=20000,cluster=1 */ A"`)
+			ln.open()
+			s.Play(`expect c1 EOF`)
+			until(t, "it is gone", func() bool { return connected(r) == 0 })
+			if s.Met("s1") {
+				t.Error("it was sent on")
+			}
+		})
+	}
+}
+
+// Small writes are not held back: what is said right before a close is on its way by then.
+func TestNoDelay(t *testing.T) {
+	ln := newTurnstile(t)
+	s, r, _, _ := stageStopped(t, ln, nil, endless)
+	s.Play(`
+		send c1 startup
+		expect c1 welcome`)
+	r.each(func(c *client) {
+		raw(c.conn, func(fd int) bool {
+			if on, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_NODELAY); err != nil || on == 0 {
+				t.Errorf("TCP_NODELAY: %d, %v", on, err)
+			}
+			return false
+		})
+	})
+}
