Send nothing on that was read of a connection before it was cut

Cause: after an answer could not be written, client.write closed the connection, but the reader went on with what it had read before: `task` waited for a slot, then started the next requests, whose answers could not arrive any more. Only an empty buffer brought it to the closed socket.

Change: the failed write closes `cut`; `task` looks at it after it has its slot, and the rest after an unusable query ends at it.

Measured: without the change TestNothingIsSentAfterACut fails (the data server gets a query that stood behind the cut); with it it passes 50 times under the race detector.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -53,6 +53,8 @@
 	in     *ring.Buffer
 	out    *ring.Buffer  // who has the turn to answer writes it
 	left   chan struct{} // closed once the client has gone, or is to be
+	cut    chan struct{} // closed once an answer could not be written: nobody hears the next ones
+	once   sync.Once     // of cut
 	fatal  bool          // with left closed: by an error of the client's, which still hears
 	slots  chan struct{} // bounds what is pipelined
 	skip   bool          // the reader's: after an error in an extended query, up to the next Sync
@@ -82,11 +84,12 @@
 	last := make(chan struct{})
 	close(last)
 	return &client{router: r, conn: conn, in: ring.New(longestQuery).Within(r.reading), out: ring.New(longestReply),
-		idleAt: time.Now(), left: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
+		idleAt: time.Now(), left: make(chan struct{}), cut: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
 }
 
 var (
 	errDone     = errors.New("done") // ends a connection without anything being wrong
+	errCut      = errors.New("an answer was not taken")
 	errStopping = errors.New("refused: the router stops")
 	longAgo     = time.Unix(1, 0)
 )
@@ -428,6 +431,7 @@
 	c.faults++
 	select {
 	case <-time.After(min(time.Duration(c.faults)*paceStep, mostPace)):
+	case <-c.cut:
 	case <-c.router.ended:
 	}
 	return nil
@@ -441,7 +445,15 @@
 // task runs f beside the reader and writes what it returns when its turn has
 // come, so that answers keep the order of the queries.
 func (c *client) task(tasks *sync.WaitGroup, f func() []byte) error {
-	c.slots <- struct{}{}
+	select {
+	case c.slots <- struct{}{}:
+	case <-c.cut:
+	}
+	select {
+	case <-c.cut: // what was read before must not run any more
+		return errCut
+	default:
+	}
 	c.mu.Lock()
 	if c.router.door != nil {
 		if err := c.router.door.ask(c); err != nil {
@@ -491,6 +503,7 @@
 	if err != nil { // what is cut off can't go on
 		c.out.Discard(c.out.Len())
 		c.conn.Close()
+		c.once.Do(func() { close(c.cut) })
 	}
 	c.out.Idle()
 	return err
--- a/internal/router/restart_test.go
+++ b/internal/router/restart_test.go
@@ -65,6 +65,13 @@
 	g.place, g.leave = "", nil
 }
 
+// breakWrites lets what is written to a connection fail from now on, or not.
+func (g *turnstile) breakWrites(broken bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broken = broken
+}
+
 func (g *turnstile) pass(place string) (stopped bool) {
 	g.mu.Lock()
 	if g.place != place {
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -227,3 +228,40 @@
 		})
 	})
 }
+
+// Once an answer could not be written the connection is cut, and none of what was read of it before is sent on any more: no answer
+// could arrive.
+func TestNothingIsSentAfterACut(t *testing.T) {
+	ln := newTurnstile(t)
+	s, r, _, _ := stageStopped(t, ln, nil, endless)
+	s.Play(`
+		send c1 startup
+		expect c1 welcome
+		send c1 Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	var queued strings.Builder
+	for i := range pipelined - 1 { // held by the module: cluster 2 has no server that serves
+		fmt.Fprintf(&queued, ` | Q "/* id=h%d,c=read,d=20000,cluster=2 */ A"`, i)
+	}
+	s.Play(`send c1 raw ""` + queued.String() + ` | Q "/* id=02,c=read,d=20000,cluster=1 */ A" | Q "/* id=03,c=read,d=20000,cluster=1 */ A"`)
+	until(t, "no more is taken at a time", func() bool {
+		full := false
+		r.each(func(c *client) { full = full || len(c.slots) == pipelined })
+		return full
+	})
+	ln.breakWrites(true)
+	s.Play(`send s1 T | D "v" | C | S rank=copy | Z`)
+	until(t, "the connection ends", func() bool { return connected(r) == 0 })
+	ln.breakWrites(false)
+	s.Play(`
+		send c2 startup | Q "/* id=04,c=read,d=20000,cluster=1 */ A"
+		expect s1 Q "/* id=04,c=read,d=#,cluster=1 */ A"
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c2 welcome | T | D "v" | C | Z`)
+	if s.Met("s1") {
+		t.Error("something was sent on")
+	}
+}
