Let no half message and no lingering close keep places where they are short

Cause, for routers without admission: evictClient took a client with half a message for one that idles. Its reader does not end it, so the oldest such client that had not asked was chosen again and again, and shielded those that do idle; where all held halves, nobody went for up to 2 s. And a lingering close holds a descriptor for up to 250 ms.

Change: who has half a message here does not idle; where nobody else goes the half that is here longest, 0.1 s at least, is refused (nothing of it ran). Where descriptors are short a lingering close ends after 20 ms, also behind the door.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -78,6 +78,7 @@
 
 	pipelines bool // it has sent a query without waiting for the answer before it
 	closing   bool // the reader is closing the connection: nobody wakes it any more
+	closingAt time.Time
 }
 
 func newClient(r *Router, conn net.Conn) *client {
@@ -136,7 +137,7 @@
 		return
 	}
 	c.mu.Lock()
-	c.closing = true
+	c.closing, c.closingAt = true, time.Now()
 	c.conn.SetReadDeadline(time.Now().Add(c.router.patience.linger))
 	c.mu.Unlock()
 	for dropped := 0; dropped < c.in.Cap(); dropped += c.in.Discard(c.in.Len()) {
@@ -228,7 +229,10 @@
 // watches how long the rest takes.
 func (c *client) fill() error {
 	c.mu.Lock()
-	if c.in.Len() > 0 && c.halfAt.IsZero() {
+	switch {
+	case c.in.Len() == 0: // behind a startup message that came in parts
+		c.halfAt = time.Time{}
+	case c.halfAt.IsZero():
 		c.halfAt = time.Now()
 	}
 	c.mu.Unlock()
@@ -510,11 +514,28 @@
 }
 
 // idleSince is when the client was last answered, or came if it never asked; idle
-// is false while it waits.
+// is false while it waits, and while a message of its is here in part: its reader would not end it.
 func (c *client) idleSince() (at time.Time, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleAt, c.asked, c.busy == 0 && !c.leave && !c.closing
+	return c.idleAt, c.asked, c.busy == 0 && !c.leave && !c.closing && c.halfAt.IsZero()
+}
+
+// isGoing says whether the client's place will soon be free. Where places are short a lingering close ends after most.
+func (c *client) isGoing(now time.Time, most time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing && now.Sub(c.closingAt) >= most {
+		c.conn.SetReadDeadline(longAgo)
+	}
+	return c.leave || c.away != nil || c.closing
+}
+
+// halfSince is since when a message is here in part; false where none is, or a request is open.
+func (c *client) halfSince() (at time.Time, half bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.halfAt, c.busy == 0 && c.away == nil && !c.closing && !c.halfAt.IsZero()
 }
 
 // closeIfIdle has the reader close the connection, unless a request is open or
--- a/internal/router/door.go
+++ b/internal/router/door.go
@@ -130,6 +130,7 @@
 	for n := 1; ; n++ {
 		for !d.router.budget.Accept() { // those on their way out hold the rest
 			if !d.linger.closeOldest() {
+				d.router.endLingering(d.router.patience.green)
 				select {
 				case <-d.router.budget.Left():
 				case <-time.After(shortPause):
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -312,7 +312,9 @@
 func (r *Router) accept(ln net.Listener) error {
 	for {
 		for !r.budget.Accept() {
-			r.evictClient(time.Now(), r.patience.green)
+			if now := time.Now(); !r.evictClient(now, r.patience.green) {
+				r.refuseHalf(now)
+			}
 			select {
 			case <-r.budget.Left():
 			case <-time.After(r.patience.green / 4):
@@ -349,25 +351,52 @@
 // evictClient closes a client to make room for another: of those that have not
 // asked for anything the one that is here longest, and failing that the one that
 // has been idle longest, if any may be closed by now; green is the age from which
-// a silent one may.
-func (r *Router) evictClient(now time.Time, green time.Duration) {
+// a silent one may. It says whether somebody goes.
+func (r *Router) evictClient(now time.Time, green time.Duration) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var silent, idle *client
 	var silentAt, idleAt time.Time
+	going := false
 	for c := range r.clients {
 		at, asked, ok := c.idleSince()
 		switch {
 		case !ok:
+			going = c.isGoing(now, green) || going
 		case !asked && now.Sub(at) >= green && (silent == nil || at.Before(silentAt)):
 			silent, silentAt = c, at
 		case asked && now.Sub(at) >= r.patience.spare && (idle == nil || at.Before(idleAt)):
 			idle, idleAt = c, at
 		}
 	}
-	if worst := cmp.Or(silent, idle); worst != nil {
+	worst := cmp.Or(silent, idle)
+	if worst != nil {
 		worst.closeIfIdle()
 	}
+	return worst != nil || going
+}
+
+// endLingering ends the lingering closes that have gone on for longer than most.
+func (r *Router) endLingering(most time.Duration) {
+	now := time.Now()
+	r.each(func(c *client) { c.isGoing(now, most) })
+}
+
+// refuseHalf makes room where no client idles: the one whose message has been here in part for longest is refused, if it could
+// have come whole by now. Nothing of it has run.
+func (r *Router) refuseHalf(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var worst *client
+	var worstAt time.Time
+	for c := range r.clients {
+		if at, half := c.halfSince(); half && now.Sub(at) >= r.patience.spare && (worst == nil || at.Before(worstAt)) {
+			worst, worstAt = c, at
+		}
+	}
+	if worst != nil {
+		worst.putOut(&turnedAway{text: "refused: all connections are in use, and the message did not come whole"})
+	}
 }
 
 // sweep closes the clients that have been idle or silent too long, and ends the
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -265,3 +265,81 @@
 		t.Error("something was sent on")
 	}
 }
+
+// A client with half a message here is not one that idles: as the oldest that has not asked it would be chosen again and again to
+// make room, would stay, and shield all others from having to go.
+func TestHalfMessageShieldsNobody(t *testing.T) {
+	ln := newTurnstile(t)
+	p := endless
+	p.spare = 0
+	s, r, _, _ := stageStopped(t, ln, nil, p)
+	s.Play(`
+		send c0 startup | raw "Q\x00\x00"
+		expect c0 welcome
+		send c1 startup | Q ""
+		expect c1 welcome | I | Z`)
+	until(t, "one holds half a message, the other idles", func() bool {
+		half, idle := 0, 0
+		r.each(func(c *client) {
+			if _, is := c.halfSince(); is {
+				half++
+			} else if _, asked, ok := c.idleSince(); ok && asked {
+				idle++
+			}
+		})
+		return half == 1 && idle == 1
+	})
+	if !r.evictClient(time.Now().Add(time.Minute), 0) {
+		t.Error("nobody goes")
+	}
+	s.Play(`
+		expect c1 EOF
+		send c0 raw "\x00\x05\x00"
+		expect c0 I | Z`)
+}
+
+// A flood of clients that are turned away for an error and stay holds no place for long.
+func TestFloodOfErrors(t *testing.T) {
+	p := endless
+	p.green, p.linger = time.Millisecond, time.Hour
+	for name, own := range map[string]*setup.Setup{"": {}, "admission": admitting(t, `{"shared":["0.0.0.0/0"]}`)} {
+		t.Run(name, func(t *testing.T) {
+			accepted := make(chan time.Time)
+			close(accepted)
+			s, r, _, _ := stageOn(t, newTurnstile(t), 0, own, accepted, nil, p)
+			const room = 20
+			r.budget.LimitClients(room)
+			for i := range 2 * room {
+				s.Play(fmt.Sprintf(`send c%d startup | y "x"`, i+1))
+			}
+			s.Play(`
+				send c0 startup | Q ""
+				expect c0 welcome | I | Z`)
+		})
+	}
+}
+
+// A flood of clients that send half a message and stay makes room for one that asks: each hears that it is refused.
+func TestFloodOfHalfMessages(t *testing.T) {
+	p := endless
+	p.green, p.spare = time.Millisecond, time.Millisecond
+	ln := newTurnstile(t)
+	s, r, _, _ := stageStopped(t, ln, nil, p)
+	const room = 20
+	r.budget.LimitClients(room)
+	for i := range 2 * room {
+		s.Play(fmt.Sprintf(`send c%d startup | raw "Q\x00\x00"`, i+1))
+		until(t, "the first is the oldest", func() bool {
+			half := i > 0
+			r.each(func(c *client) {
+				_, is := c.halfSince()
+				half = half || is
+			})
+			return half
+		})
+	}
+	s.Play(`
+		send c0 startup | Q ""
+		expect c0 welcome | I | Z
+		expect c1 welcome | FATAL 53300 | EOF`)
+}
