Test that a missing limit, another unit and an unknown effect are one clear line

Suspicion: bad settings at the start (an unknown effect, a unit that is not the field's, a limit that is missing or misspelt) might panic or pass. Ruled out: each is one line that names the field (run: go test ./internal/config).

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -43,6 +43,12 @@
 		{`"mutate"`, `"mutant"`, "mutant"},
 		{`"connectTimeout":5000000000`, `"connectTimeout":0`, "connectTimeout"},
 		{scenario.Settings, "null", "settings"},
+		{`"limits":{"cores"`, `"limit":{"cores"`, "limits: cores: 0"}, // a missing limit
+		{`"memory_mb":192`, `"memory_kb":196608`, "limits: memory_mb: 0"},
+		{`"sockets":1024`, `"sockets":"1k"`, "limits.sockets: "}, // a unit that is not the field's
+		{`"deadline":20000000000`, `"deadline":"20s"`, "settings: classes[0].deadline: "},
+		{`"free"`, `"harmless"`, `settings: classes[0].effect: unknown word "harmless"; write one of free, guarded, single_shot`},
+		{`"mostHeld"`, `"mostKept"`, "settings: limits.mostHeld: missing"},
 	} {
 		_, err := Check(scenario.File(t, strings.Replace(good, c.from, c.to, 1)))
 		if err == nil || !strings.Contains(err.Error(), c.names) || strings.Contains(err.Error(), "\n") {
