Catch SIGTERM from the program's start on

Cause: `serve` asked for SIGTERM only behind the reading of its files and the making of the router. Told to stop before that, the program was killed by the signal instead of ending with 0.

Change: SIGTERM and SIGINT are asked for where SIGHUP is.

Ruled out, with tests: SIGHUP while the program stops is taken as ever, a second SIGTERM and a SIGINT change nothing (TestSignalsWhileStopping); idle clients that fill what clients may hold, with and without admission, keep no data server and no change of the list away, and the program never holds more descriptors than it may, 64 here (TestIdleClientsFillDescriptors).

--- a/cmd/lotushook/main.go
+++ b/cmd/lotushook/main.go
@@ -114,8 +114,11 @@
 	if err := noArgs(c); err != nil {
 		return err
 	}
-	hup := make(chan os.Signal, 1) // from the start: uncaught, it would end the program
+	// From the start: uncaught, they would end the program. One that is told to stop again goes on with what it has taken.
+	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	conf, err := config.Load(os.Getenv)
 	if err != nil {
 		return err
@@ -132,8 +135,6 @@
 	runtime.GOMAXPROCS(1) // the router's machine has one core
 	debug.SetMemoryLimit(conf.Limits.MemoryMB << 20 * 3 / 4)
 	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	go reload(r, path, hup)
 	return r.Run(ctx)
 }
--- a/cmd/lotushook/main_test.go
+++ b/cmd/lotushook/main_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"lotushook/internal/scenario"
 )
@@ -106,9 +107,15 @@
 // startAs is start by some command line.
 func startAs(t *testing.T, line ...string) (*scenario.Stage, *exec.Cmd, string) {
 	t.Helper()
-	s := scenario.New(t, "s1", "agent", "next")
+	return startWith(t, func(config string) string { return config }, line...)
+}
+
+// startWith is startAs with another configuration.
+func startWith(t *testing.T, other func(config string) string, line ...string) (*scenario.Stage, *exec.Cmd, string) {
+	t.Helper()
+	s := scenario.New(t, "s1", "s2", "agent", "next")
 	known := scenario.List(1, "h-1 "+s.Addr("s1")+" 1 SERVING")
-	file := scenario.File(t, scenario.Config("127.0.0.9:1", "127.0.0.9:2", known))
+	file := scenario.File(t, other(scenario.Config("127.0.0.9:1", "127.0.0.9:2", known)))
 	cmd := exec.Command(line[0], line[1:]...)
 	cmd.Env = append(os.Environ(), "NODE_NAME=n3", "NODE_LISTEN=127.0.0.1:0", "NODE_DISCOVERY="+s.Addr("agent"),
 		"NODE_CONFIG="+file)
@@ -300,3 +307,130 @@
 		t.Errorf("%v: %s", err, out)
 	}
 }
+
+// Told to stop while it still reads its configuration, the program ends as it does later: without an error.
+func TestStopDuringStart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config")
+	if err := syscall.Mkfifo(path, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "serve")
+	cmd.Env = append(os.Environ(), "NODE_CONFIG="+path)
+	var log bytes.Buffer
+	cmd.Stderr = &log
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cmd.Process.Kill() })
+	config, err := os.OpenFile(path, os.O_WRONLY, 0) // done once the program reads it
+	if err == nil {
+		err = cmd.Process.Signal(syscall.SIGTERM)
+	}
+	if err == nil {
+		_, err = config.WriteString(scenario.Config("127.0.0.1:0", "127.0.0.1:1", emptyList))
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.Close()
+	if err := cmd.Wait(); err != nil {
+		t.Errorf("%v: %s", err, log.String())
+	}
+}
+
+// SIGHUP while the program stops is taken as ever, and a second SIGTERM changes nothing: what was taken gets its answer.
+func TestSignalsWhileStopping(t *testing.T) {
+	s, cmd, file := start(t)
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		send c2 startup | Q ""
+		expect c2 welcome | I | Z
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	tell := func(sig syscall.Signal) {
+		t.Helper()
+		if err := cmd.Process.Signal(sig); err != nil {
+			t.Fatal(err)
+		}
+	}
+	tell(syscall.SIGTERM)
+	s.Play(`expect c2 EOF`)
+	if err := os.WriteFile(file, []byte(scenario.Config("127.0.0.9:1", s.Addr("next"), emptyList)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	tell(syscall.SIGHUP)
+	s.Play(`wait next`)
+	tell(syscall.SIGTERM)
+	tell(syscall.SIGHUP)
+	tell(syscall.SIGINT)
+	s.Play(`
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c1 welcome | T | D "v" | C | Z | EOF`)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+}
+
+// Clients that idle may fill all that clients may hold while discovery is silent: who comes gets in, data servers are reached, what
+// discovery says on its return is taken, and the program never holds more descriptors than it may.
+func TestIdleClientsFillDescriptors(t *testing.T) {
+	const most = 64
+	own := scenario.File(t, `{"admission":{"shared":["0.0.0.0/0"]}}`)
+	for _, line := range [][]string{{program, "serve"}, {program, "serve", "--settings", own}} {
+		t.Run(fmt.Sprint(len(line)), func(t *testing.T) {
+			s, cmd, _ := startWith(t, func(config string) string {
+				return strings.Replace(config, `"sockets":1024`, fmt.Sprintf(`"sockets":%d`, most), 1)
+			}, line...)
+			count := func() {
+				t.Helper()
+				open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", cmd.Process.Pid))
+				if err != nil || len(open) > most {
+					t.Fatalf("%d descriptors, %v", len(open), err)
+				}
+			}
+			clients := 0
+			enter := func(ask, hear string) (name string) { // under admission a client may hear that it is to come again
+				t.Helper()
+				for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+					name, clients = fmt.Sprintf("c%d", clients), clients+1
+					if s.Try("send "+name+" startup | "+ask) == nil && s.Try("expect "+name+" "+hear) == nil {
+						return name
+					}
+					count()
+				}
+				t.Fatal("nobody gets in")
+				return ""
+			}
+			fill := func() {
+				t.Helper()
+				for range 2 * most {
+					enter(`Q ""`, "welcome | I | Z")
+					count()
+				}
+			}
+			fill()
+			s.Set("first", enter(`Q "/* id=01,c=read,d=20000,cluster=1 */ A"`, "welcome"))
+			s.Play(`
+				wait s1
+				expect s1 startup
+				send s1 welcome
+				expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+				send s1 T | D "v" | C | S rank=copy | Z
+				expect {first} T | D "v" | C | Z`)
+			fill()
+			s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 DRAINING", "h-2 {s2} 1 SERVING"))
+			s.Play(`expect s1 EOF`)
+			s.Set("last", enter(`Q "/* id=02,c=read,d=20000,cluster=1 */ A"`, "welcome"))
+			s.Play(`
+				wait s2
+				expect s2 startup
+				send s2 welcome
+				expect s2 Q "/* id=02,c=read,d=#,cluster=1 */ A"
+				send s2 T | D "v" | C | S rank=copy | Z
+				expect {last} T | D "v" | C | Z`)
+			count()
+		})
+	}
+}
