--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -343,3 +344,39 @@
 		expect c0 welcome | I | Z
 		expect c1 welcome | FATAL 53300 | EOF`)
 }
+
+// Told to stop before its agent has answered for the first time, a router still answers what it has read: by a server once there
+// is a list, with a refusal when its time is over.
+func TestStopBeforeFirstList(t *testing.T) {
+	for _, answers := range []bool{true, false} {
+		t.Run(fmt.Sprint(answers), func(t *testing.T) {
+			accepted, finish := make(chan time.Time), make(chan time.Time)
+			close(accepted)
+			end := sync.OnceFunc(func() { close(finish) })
+			t.Cleanup(end)
+			s, r, stop, done := stageOn(t, newTurnstile(t), time.Hour, &setup.Setup{}, accepted, finish, endless, "h-1 {s1} 1 SERVING")
+			s.Play(`
+				send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+				expect c1 welcome`)
+			until(t, "the kept list and the request wait", func() bool { return len(r.owner.events) == 2 })
+			stop()
+			until(t, "it stops", r.isStopping)
+			if answers {
+				s.Agent("agent")(2, scenario.List(2, "h-1 {s1} 1 SERVING"))
+				s.Play(`
+					wait s1
+					expect s1 startup
+					send s1 welcome
+					expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"
+					send s1 T | D "v" | C | S rank=copy | Z
+					expect c1 T | D "v" | C | Z | EOF`)
+			} else {
+				end()
+				s.Play(`expect c1 E 53300 | Z | EOF`)
+			}
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
