Where descriptors are short, end the lingering close that has gone on for longest

Cause: behind the door each client that is put out with a word now lingers. Found by reading; not measured.

Change: whoever accepts and finds no descriptor ends the lingering close that has gone on for longest, one at a time, whatever its age.

--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -76,9 +76,9 @@
 	leave   bool // it is to end the connection, if nothing is open or has come
 	pushed  bool // with leave: the door has given its place away
 
-	pipelines bool // it has sent a query without waiting for the answer before it
-	closing   bool // the reader is closing the connection: nobody wakes it any more
-	closingAt time.Time
+	pipelines bool      // it has sent a query without waiting for the answer before it
+	closing   bool      // the reader is closing the connection: nobody wakes it any more
+	closingAt time.Time // since when it waits for the client's end; zero: it does not
 }
 
 func newClient(r *Router, conn net.Conn) *client {
@@ -521,16 +521,28 @@
 	return c.idleAt, c.asked, c.busy == 0 && !c.leave && !c.closing && c.halfAt.IsZero()
 }
 
-// isGoing says whether the client's place will soon be free. Where places are short a lingering close ends after most.
-func (c *client) isGoing(now time.Time, most time.Duration) bool {
+// isGoing says whether the client's place will soon be free.
+func (c *client) isGoing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing && now.Sub(c.closingAt) >= most {
-		c.conn.SetReadDeadline(longAgo)
-	}
 	return c.leave || c.away != nil || c.closing
 }
 
+// lingersSince is since when the client's end is waited for; false where it is not, or not any more.
+func (c *client) lingersSince() (at time.Time, lingers bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closingAt, !c.closingAt.IsZero()
+}
+
+// endLingering closes a connection without waiting any longer for the client's end.
+func (c *client) endLingering() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closingAt = time.Time{}
+	c.conn.SetReadDeadline(longAgo)
+}
+
 // halfSince is since when a message is here in part; false where none is, or a request is open.
 func (c *client) halfSince() (at time.Time, half bool) {
 	c.mu.Lock()
--- a/internal/router/door.go
+++ b/internal/router/door.go
@@ -129,8 +129,7 @@
 	defer d.spare.give()
 	for n := 1; ; n++ {
 		for !d.router.budget.Accept() { // those on their way out hold the rest
-			if !d.linger.closeOldest() {
-				d.router.endLingering(d.router.patience.green)
+			if d.router.endLingering() || !d.linger.closeOldest() {
 				select {
 				case <-d.router.budget.Left():
 				case <-time.After(shortPause):
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -312,7 +312,7 @@
 func (r *Router) accept(ln net.Listener) error {
 	for {
 		for !r.budget.Accept() {
-			if now := time.Now(); !r.evictClient(now, r.patience.green) {
+			if now := time.Now(); !r.endLingering() && !r.evictClient(now, r.patience.green) {
 				r.refuseHalf(now)
 			}
 			select {
@@ -362,7 +362,7 @@
 		at, asked, ok := c.idleSince()
 		switch {
 		case !ok:
-			going = c.isGoing(now, green) || going
+			going = going || c.isGoing()
 		case !asked && now.Sub(at) >= green && (silent == nil || at.Before(silentAt)):
 			silent, silentAt = c, at
 		case asked && now.Sub(at) >= r.patience.spare && (idle == nil || at.Before(idleAt)):
@@ -376,10 +376,21 @@
 	return worst != nil || going
 }
 
-// endLingering ends the lingering closes that have gone on for longer than most.
-func (r *Router) endLingering(most time.Duration) {
-	now := time.Now()
-	r.each(func(c *client) { c.isGoing(now, most) })
+// endLingering ends the lingering close that has gone on for longest, and says whether there was one.
+func (r *Router) endLingering() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var worst *client
+	var worstAt time.Time
+	for c := range r.clients {
+		if at, lingers := c.lingersSince(); lingers && (worst == nil || at.Before(worstAt)) {
+			worst, worstAt = c, at
+		}
+	}
+	if worst != nil {
+		worst.endLingering()
+	}
+	return worst != nil
 }
 
 // refuseHalf makes room where no client idles: the one whose message has been here in part for longest is refused, if it could
