--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -38,10 +38,12 @@
 	open    time.Duration // open requests hold a fatal error up for so long
 	fresh   time.Duration // from a router that stops, a client that has not asked yet has so long to ask
 	last    time.Duration // and at the very end all have so long to take their answers
+	linger  time.Duration // after the last word the connection is read to its end for so long
 }
 
 var usualPatience = patience{message: 2 * time.Second, write: 5 * time.Second, idle: 2250 * time.Millisecond, spare: 100 * time.Millisecond,
-	green: 20 * time.Millisecond, open: 500 * time.Millisecond, fresh: 500 * time.Millisecond, last: 100 * time.Millisecond}
+	green: 20 * time.Millisecond, open: 500 * time.Millisecond, fresh: 500 * time.Millisecond, last: 100 * time.Millisecond,
+	linger: 250 * time.Millisecond}
 
 // client is one connection of a client: a goroutine that reads it, and a task
 // for each request. Only the reader ends the connection, whoever wants it ended:
@@ -52,6 +54,8 @@
 	in     *ring.Buffer
 	out    *ring.Buffer  // who has the turn to answer writes it
 	left   chan struct{} // closed once the client has gone, or is to be
+	cut    chan struct{} // closed once an answer could not be written: nobody hears the next ones
+	once   sync.Once     // of cut
 	fatal  bool          // with left closed: by an error of the client's, which still hears
 	slots  chan struct{} // bounds what is pipelined
 	skip   bool          // the reader's: after an error in an extended query, up to the next Sync
@@ -74,17 +78,22 @@
 	overdue bool // a query, or the rest of a message, has not come in time
 	leave   bool // it is to end the connection, if nothing is open or has come
 	pushed  bool // with leave: the door has given its place away
+
+	pipelines bool      // it has sent a query without waiting for the answer before it
+	closing   bool      // the reader is closing the connection: nobody wakes it any more
+	closingAt time.Time // since when it waits for the client's end; zero: it does not
 }
 
 func newClient(r *Router, conn net.Conn) *client {
 	last := make(chan struct{})
 	close(last)
 	return &client{router: r, conn: conn, in: ring.New(longestQuery).Within(r.reading), out: ring.New(longestReply),
-		idleAt: time.Now(), left: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
+		idleAt: time.Now(), left: make(chan struct{}), cut: make(chan struct{}), slots: make(chan struct{}, pipelined), last: last}
 }
 
 var (
 	errDone     = errors.New("done") // ends a connection without anything being wrong
+	errCut      = errors.New("an answer was not taken")
 	errStopping = errors.New("refused: the router stops")
 	longAgo     = time.Unix(1, 0)
 )
@@ -113,10 +122,35 @@
 	if c.fatal {
 		c.write(pgwire.AppendError(behind, "FATAL", code, err.Error(), wait))
 	}
+	if c.fatal || c.pipelines && errors.Is(err, errDone) {
+		c.lingeringClose()
+	}
 	c.conn.Close()
 	c.router.gone(c)
 }
 
+// lingeringClose ends the sending and then reads and drops what still comes, up to the client's own end and within bounds in time
+// and bytes. Closed over unread bytes, the connection would be reset, and the reset can overtake what was written. Nothing that is
+// read here is served: its answer could not arrive any more.
+//
+// It is for who has heard an error, as more may stand behind what caused it, and for who sends without waiting. Any other client
+// has all its answers by the time that more of it comes; what crosses its close stays unread, so that it may send it elsewhere.
+func (c *client) lingeringClose() {
+	half, ok := c.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.mu.Lock()
+	c.closing, c.closingAt = true, time.Now()
+	c.conn.SetReadDeadline(time.Now().Add(c.router.patience.linger))
+	c.mu.Unlock()
+	for dropped := 0; dropped < c.in.Cap(); dropped += c.in.Discard(c.in.Len()) {
+		if c.in.Fill(c.conn) != nil {
+			return
+		}
+	}
+}
+
 // fatalCode is the code of the error that a client hears before its connection
 // is closed, none where it closed or has gone; and when to come again, as the
 // field D tells it.
@@ -173,6 +207,10 @@
 func (c *client) putOut(away *turnedAway) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.closing { // its last word is said, and its place is wanted now
+		c.conn.SetReadDeadline(longAgo)
+		return
+	}
 	c.away = away
 	c.leave, c.pushed = c.leave || away == nil, away == nil
 	c.conn.SetReadDeadline(longAgo)
@@ -190,7 +228,10 @@
 // watches how long the rest takes.
 func (c *client) fill() error {
 	c.mu.Lock()
-	if c.in.Len() > 0 && c.halfAt.IsZero() {
+	switch {
+	case c.in.Len() == 0: // behind a startup message that came in parts
+		c.halfAt = time.Time{}
+	case c.halfAt.IsZero():
 		c.halfAt = time.Now()
 	}
 	c.mu.Unlock()
@@ -217,7 +258,9 @@
 	case c.away != nil || c.overdue:
 		return err
 	case c.leave && c.busy == 0 && !half:
-		c.conn.Close()
+		if !c.pipelines { // or lingeringClose does it
+			c.conn.Close()
+		}
 		return errDone
 	case c.pushed:
 		return c.router.door.pushed(c)
@@ -237,6 +280,7 @@
 	defer c.mu.Unlock()
 	p := &c.router.patience
 	switch {
+	case c.closing:
 	case !c.asked && now.Sub(c.idleAt) > p.message, !c.halfAt.IsZero() && now.Sub(c.halfAt) > p.message:
 		c.overdue = true // the reader says so and ends
 		c.conn.SetReadDeadline(longAgo)
@@ -417,6 +461,7 @@
 			return err
 		}
 	}
+	c.pipelines = c.pipelines || c.busy > 0
 	c.busy++
 	c.asked = true
 	if r != nil {
@@ -471,17 +516,47 @@
 	if err != nil { // what is cut off can't go on
 		c.out.Discard(c.out.Len())
 		c.conn.Close()
+		c.once.Do(func() { close(c.cut) })
 	}
 	c.out.Idle()
 	return err
 }
 
 // idleSince is when the client was last answered, or came if it never asked; idle
-// is false while it waits.
+// is false while it waits, and while a message of its is here in part: its reader would not end it.
 func (c *client) idleSince() (at time.Time, asked, idle bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.idleAt, c.asked, c.busy == 0 && !c.leave
+	return c.idleAt, c.asked, c.busy == 0 && !c.leave && !c.closing && c.halfAt.IsZero()
+}
+
+// isGoing says whether the client's place will soon be free.
+func (c *client) isGoing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leave || c.away != nil || c.closing
+}
+
+// lingersSince is since when the client's end is waited for; false where it is not, or not any more.
+func (c *client) lingersSince() (at time.Time, lingers bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closingAt, !c.closingAt.IsZero()
+}
+
+// endLingering closes a connection without waiting any longer for the client's end.
+func (c *client) endLingering() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closingAt = time.Time{}
+	c.conn.SetReadDeadline(longAgo)
+}
+
+// halfSince is since when a message is here in part; false where none is, or a request is open.
+func (c *client) halfSince() (at time.Time, half bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.halfAt, c.busy == 0 && c.away == nil && !c.closing && !c.halfAt.IsZero()
 }
 
 // closeIfIdle has the reader close the connection, unless a request is open or
@@ -494,7 +569,7 @@
 
 // leaveIfIdle is closeIfIdle with the lock held.
 func (c *client) leaveIfIdle() {
-	if c.busy == 0 && !c.leave {
+	if c.busy == 0 && !c.leave && !c.closing {
 		c.leave = true
 		c.conn.SetReadDeadline(longAgo)
 	}
--- a/internal/router/hangup.go
+++ b/internal/router/hangup.go
@@ -41,19 +41,33 @@
 	})
 }
 
-// takeSlot waits for room among what is pipelined, but not for a client that has hung up.
+// takeSlot waits for room among what is pipelined, but not for a client that has hung up, nor behind an answer that was not
+// taken: what was read before that must not run any more.
 func (c *client) takeSlot() error {
 	select {
 	case c.slots <- struct{}{}:
-		return nil
 	default:
+		if err := c.waitForSlot(); err != nil {
+			return err
+		}
+	}
+	select {
+	case <-c.cut:
+		return errCut
+	default:
+		return nil
 	}
+}
+
+func (c *client) waitForSlot() error {
 	look := time.NewTicker(lookEvery)
 	defer look.Stop()
 	for {
 		select {
 		case c.slots <- struct{}{}:
 			return nil
+		case <-c.cut:
+			return errCut
 		case <-look.C:
 			if c.hungUp() {
 				return io.EOF
@@ -62,7 +76,7 @@
 	}
 }
 
-// rest waits for some time, up to the router's end, but not for a client that has hung up.
+// rest waits for some time, or for something sooner, but not for a client that has hung up, or did not take an answer.
 func (c *client) rest(most time.Duration, sooner <-chan struct{}) error {
 	late := time.NewTimer(most)
 	defer late.Stop()
@@ -74,6 +88,8 @@
 			return nil
 		case <-sooner:
 			return nil
+		case <-c.cut:
+			return errCut
 		case <-look.C:
 			if c.hungUp() {
 				return io.EOF
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -39,7 +39,7 @@
 
 // endless is the patience of tests that are not about it.
 var endless = patience{message: time.Hour, write: time.Hour, idle: time.Hour, spare: time.Hour, green: time.Hour, open: time.Millisecond,
-	fresh: time.Hour, last: time.Hour}
+	fresh: time.Hour, last: time.Hour, linger: time.Millisecond}
 
 // stage is a running router with data servers s1 and s2 in group 1 and a silent
 // agent; clients are named c.
@@ -94,6 +94,7 @@
 	r.allowed = time.Hour
 	r.patience, r.hold = p, hold
 	r.pool.Settle, r.pool.Crossing = 0, 0 // or it would depend on the machine which connection is taken
+	r.pool.Stall = time.Minute            // or whether an answer is whole
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- r.Serve(ctx, ln); close(done) }()
