Tell a crashed router's panic in the lab, not its stack's last line

Cause: TestFeeds failed on a busy machine with "exit status 2: waitgroup.go:238", which says nothing of why. Change: the lab keeps the line that begins with "panic:".

--- a/internal/lab/process.go
+++ b/internal/lab/process.go
@@ -113,12 +113,15 @@
 		return fmt.Errorf("router %s: %w", p.name, err)
 	}
 	ready, ended := make(chan struct{}), make(chan error, 1)
-	last := ""
+	last, panicked := "", ""
 	go func() {
 		lines, told := bufio.NewScanner(out), false
 		for lines.Scan() {
 			fmt.Fprintln(p.log, lines.Text())
 			last = lines.Text()
+			if panicked == "" && strings.HasPrefix(last, "panic: ") { // its stack follows, and says less in its last line
+				panicked = last + " "
+			}
 			if !told && serving.MatchString(last) {
 				told = true
 				close(ready)
@@ -128,7 +131,7 @@
 		p.mu.Lock()
 		p.cpu += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 		if !p.killed && (!p.stop || err != nil) {
-			p.crashed = fmt.Sprintf("%s ended: %v: %s", p.name, err, last)
+			p.crashed = fmt.Sprintf("%s ended: %v: %s%s", p.name, err, panicked, last)
 		}
 		p.mu.Unlock()
 		ended <- err
