Let what was sealed with the old key be read before a member lets go of it, in a test

Cause: TestKeysChange failed once on a busy machine ("1 not understood"): one side let go of the old key while a datagram that the other had sealed with it still lay in its socket. An operator leaves time between the steps; the test left none. Change: the test waits until each side has taken more messages before the next step. As strict: no message may be not understood.

--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -182,6 +182,9 @@
 		had := a.Counts().Taken + b.Counts().Taken
 		until(t, "they go on while one of them has changed", func() bool { return a.Counts().Taken+b.Counts().Taken > had+20 })
 		b.SetKeys(keys)
+		// What b sealed with the key before has to be read, however slow the machine is, before a lets go of that key.
+		hadA, hadB := a.Counts().Taken, b.Counts().Taken
+		until(t, "they go on with the same keys", func() bool { return a.Counts().Taken > hadA+20 && b.Counts().Taken > hadB+20 })
 	}
 	if n := a.Counts().Strangers + b.Counts().Strangers; n > 0 || states(a) != both || states(b) != both {
 		t.Errorf("%d not understood; %s; %s", n, states(a), states(b))
