Free an ended request's place before the next arrival in the same batch is admitted

Cause, from the accounts at that moment (within 1, open 2): the event loop counted ends after the whole batch, so an arrival queued behind its client's last end met a place still taken. Ruled out: connection pool, settle time. Change: an end frees place and bytes when it is taken from the queue; also for MaxQueued and the limit of query bytes.

--- a/internal/router/contracts_test.go
+++ b/internal/router/contracts_test.go
@@ -78,6 +78,40 @@
 	}
 }
 
+// A client that sends one request after another never has two open, however the event loop's batches fall.
+//
+// What happened: a team that may have one request open was refused its next one, "team counters has its 1 requests open", when
+// the end of the one before and the arrival of the next came to the event loop in one batch: it counted ends after the whole
+// batch. TestTerms failed so on busy machines, with an EOF at the data server that waited for the query. What showed the cause: the
+// accounts had {within:1, open:2} for three requests of which only one had met another.
+func TestEndFreesAPlaceInItsBatch(t *testing.T) {
+	now := make(chan time.Time)
+	close(now)
+	s, r, _, _ := stageOwn(t, teams(t, "1"), now, endless)
+	s.Play(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	held, release := make(chan struct{}), make(chan struct{})
+	go r.loop.do(t.Context(), func() { close(held); <-release })
+	<-held
+	s.Play(`
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c1 welcome | T | D "v" | C | Z
+		send c1 Q "/* id=02,c=read,d=20000,cluster=1 */ A"`)
+	const events = 3 // the attempt's end, the request's, and the next one's arrival
+	for len(r.loop.events) < events {
+		time.Sleep(time.Millisecond)
+	}
+	close(release)
+	s.Play(`
+		expect s1 Q "/* id=02,c=read,d=#,cluster=1 */ A"
+		send s1 T | D "w" | C | S rank=copy | Z
+		expect c1 T | D "w" | C | Z`)
+}
+
 // A request whose account stands below the level is refused at once, with lane, cluster and a time to return, before any data
 // server or the contract's book hears of it; better lanes go on. The level rose by itself: what was taken was not served.
 func TestLanes(t *testing.T) {
--- a/internal/router/eventloop.go
+++ b/internal/router/eventloop.go
@@ -40,7 +40,7 @@
 	maxQueryBytes int                 // the most bytes that may be held
 	timers        timers
 	batch         []balance.Event
-	endedRequests []*request // tasks that ended in this batch
+	endedRequests []*request // tasks that ended in this batch; still in requests
 	requestCount  int
 	logLines      int
 	contracts     *contractService // the teams' contracts; nil: there are none
@@ -97,7 +97,7 @@
 func (o *eventLoop) handle(e loopEvent) {
 	if e.requestEnded {
 		if o.requests[e.request.ID] == e.request {
-			o.endedRequests = append(o.endedRequests, e.request)
+			o.requestEnded(e.request)
 		}
 		return
 	}
@@ -122,7 +122,7 @@
 			e.request.deliver(balance.Action{Kind: balance.FailRequest}) // the module ignores an ID that is live
 			return
 		}
-		if len(o.requests) >= o.router.config.Settings.Balance.MaxQueued || o.queryBytes+e.request.Size() > o.maxQueryBytes {
+		if o.openRequests() >= o.router.config.Settings.Balance.MaxQueued || o.queryBytes+e.request.Size() > o.maxQueryBytes {
 			o.router.metrics.Add(metrics.TooManyInFlight)
 			e.request.deliver(balance.Action{Kind: balance.RejectRequest, RetryAfter: o.retryAfter(e.Class)})
 			return
@@ -147,6 +147,19 @@
 	o.batch = append(o.batch, e.Event)
 }
 
+// requestEnded frees what a request held: its client's next one may follow in the same batch. The request itself stays until the
+// module's step, which may still act for it.
+func (o *eventLoop) requestEnded(r *request) {
+	o.endedRequests = append(o.endedRequests, r)
+	o.queryBytes -= r.Size()
+	if o.contracts != nil {
+		o.contracts.requestEnded(r, o.router.clock.now())
+	}
+}
+
+// openRequests is the number of requests whose tasks have not ended.
+func (o *eventLoop) openRequests() int { return len(o.requests) - len(o.endedRequests) }
+
 // addToBatch puts a request into the batch.
 func (o *eventLoop) addToBatch(e loopEvent) {
 	if e.mustSee > 0 {
@@ -217,10 +230,6 @@
 func (o *eventLoop) removeEnded() {
 	for _, r := range o.endedRequests {
 		delete(o.requests, r.ID)
-		o.queryBytes -= r.Size()
-		if o.contracts != nil {
-			o.contracts.requestEnded(r, o.router.clock.now())
-		}
 		if r.endsReported < r.attemptsSent {
 			o.batch = append(o.batch, balance.Event{Kind: balance.AttemptEnded, Request: r.ID, Attempt: r.endsReported,
 				Endpoint: r.lastEndpoint, Outcome: balance.NotSent})
