Print the middle run as the median of a comparison

Seen: 12 for 10, 14 and 30. Cause: stat.Quantile with LinInterp interpolates from below the first value. TestSpreadMedian fails without the change. internal/experiment/views.go uses stat.Empirical for p50 of many samples, which is one of them: left.

--- a/internal/experiment/compare.go
+++ b/internal/experiment/compare.go
@@ -9,7 +9,6 @@
 	"text/template"
 
 	jsoniter "github.com/json-iterator/go"
-	"gonum.org/v1/gonum/stat"
 )
 
 // Read reads a result.json.
@@ -38,7 +37,16 @@
 func spread(name string, values []float64) Spread {
 	sorted := slices.Clone(values)
 	slices.Sort(sorted)
-	return Spread{Name: name, Median: stat.Quantile(0.5, stat.LinInterp, sorted, nil), Min: sorted[0], Max: sorted[len(sorted)-1], Values: values}
+	return Spread{Name: name, Median: median(sorted), Min: sorted[0], Max: sorted[len(sorted)-1], Values: values}
+}
+
+// median is the middle one of sorted values, or the mean of the two in the middle.
+func median(sorted []float64) float64 {
+	middle := len(sorted) / 2
+	if len(sorted)%2 == 1 {
+		return sorted[middle]
+	}
+	return (sorted[middle-1] + sorted[middle]) / 2
 }
 
 //go:embed compare.md.tmpl
--- a/internal/experiment/compare_test.go
+++ b/internal/experiment/compare_test.go
@@ -39,3 +39,13 @@
 		t.Error("runs of two experiments were compared")
 	}
 }
+
+// The median of a few runs is one that was seen, or the mean of two. Before, it came from a quantile interpolated from below: 12 for
+// 10, 14 and 30.
+func TestSpreadMedian(t *testing.T) {
+	for want, values := range map[float64][]float64{14: {30, 10, 14}, 12: {14, 10}, 7: {7}, 2.5: {1, 2, 3, 4}} {
+		if got := spread("figure", values).Median; got != want {
+			t.Errorf("%v: %v, want %v", values, got, want)
+		}
+	}
+}
