--- a/internal/router/acceptor.go
+++ b/internal/router/acceptor.go
@@ -126,7 +126,6 @@
 // accept accepts clients until the listener closes.
 func (d *acceptor) accept(ln net.Listener) error {
 	defer d.spare.give()
-	var queue acceptQueue
 	for n := 1; ; n++ {
 		for !d.router.descriptors.Accept() { // connections that are closing hold the rest
 			if d.router.clients.endLingering() || !d.lingering.closeOldest() {
@@ -136,7 +135,6 @@
 				}
 			}
 		}
-		called := d.router.clock.now()
 		conn, err := ln.Accept()
 		if err != nil {
 			d.router.descriptors.Leave()
@@ -152,7 +150,7 @@
 			}
 			continue
 		}
-		d.admit(conn, queue.accepted(called, d.router.clock.now()))
+		d.admit(conn)
 		if n%acceptsBetweenPauses == 0 {
 			time.Sleep(acceptPause)
 		}
@@ -160,7 +158,7 @@
 }
 
 // admit lets admission decide about a connection, and carries the decision out.
-func (d *acceptor) admit(conn net.Conn, waitedSince clock.Nanos) {
+func (d *acceptor) admit(conn net.Conn) {
 	addr := remoteAddress(conn)
 	d.mu.Lock()
 	d.nextID++
@@ -169,7 +167,7 @@
 	out := d.findEvicted(v.Close)
 	var c *client
 	if v.Admitted() {
-		c = newClient(d.router, conn, waitedSince)
+		c = newClient(d.router, conn)
 		c.admissionID = id
 		d.clients[id] = c
 	}
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -11,7 +11,6 @@
 	"lotushook/internal/pgwire"
 	"lotushook/internal/ringbuffer"
 	"lotushook/policy/admission"
-	"lotushook/policy/clock"
 	"lotushook/policy/contract"
 )
 
@@ -42,7 +41,6 @@
 type clientReader struct {
 	input         *ringbuffer.Buffer
 	arrived       arrivals                 // when what is in the input had come
-	waitedSince   clock.Nanos              // since when the connection may have waited to be accepted; 0: any time
 	skipUntilSync bool                     // after an error in an extended query
 	unusableInRow int                      // unusable queries in a row
 	feedSeat      *changefeed.Subscription // of one that has asked for a feed
@@ -85,15 +83,14 @@
 	errDraining       = errors.New("refused: the router stops")
 )
 
-// newClient returns a client on a connection that may have waited since a time to be accepted.
-func newClient(r *Router, conn net.Conn, waitedSince clock.Nanos) *client {
+func newClient(r *Router, conn net.Conn) *client {
 	answered := make(chan struct{})
 	close(answered)
 	return &client{
 		router:       r,
 		conn:         conn,
 		left:         make(chan struct{}),
-		clientReader: clientReader{input: ringbuffer.New(maxQueryBytes).Within(r.readQuota), waitedSince: waitedSince},
+		clientReader: clientReader{input: ringbuffer.New(maxQueryBytes).Within(r.readQuota)},
 		clientWriter: clientWriter{
 			output:      ringbuffer.New(maxAnswerBytes),
 			slots:       make(chan struct{}, maxPipelined),
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -27,7 +27,7 @@
 	err := c.input.Fill(c.conn)
 	ended := c.router.clock.now()
 	c.arrived.read(began, ended)
-	c.boundByKernel(first, began, ended)
+	c.boundByKernel(first, ended)
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
--- a/internal/router/plainacceptor.go
+++ b/internal/router/plainacceptor.go
@@ -12,13 +12,14 @@
 
 // acceptAll takes clients in until the listener closes, as far as descriptors go.
 func (r *Router) acceptAll(listener net.Listener) error {
-	var queue acceptQueue
+	lackingAt := clock.Nanos(0) // when descriptors were last lacking; 0: they were not
 	for {
-		queue.crowded = r.awaitDescriptor() || queue.crowded
-		called := r.clock.now()
+		if r.awaitDescriptor() {
+			lackingAt = r.clock.now()
+		}
 		conn, err := listener.Accept()
 		if err == nil {
-			r.acceptClient(conn, queue.accepted(called, r.clock.now()), &queue)
+			r.acceptClient(conn, lackingAt)
 			continue
 		}
 		r.descriptors.Leave()
@@ -31,14 +32,14 @@
 }
 
 // acceptClient starts a client's goroutine, unless the client has waited too long in a crowd.
-func (r *Router) acceptClient(conn net.Conn, waitedSince clock.Nanos, queue *acceptQueue) {
-	if r.hasWaitedTooLong(conn, queue) {
+func (r *Router) acceptClient(conn net.Conn, lackingAt clock.Nanos) {
+	if r.hasWaitedTooLong(conn, lackingAt) {
 		r.metrics.Add(metrics.ShutUnread)
 		closeQuietly(conn)
 		r.descriptors.Leave()
 		return
 	}
-	r.serveClient(conn, waitedSince)
+	r.serveClient(conn)
 }
 
 // isTemporary says whether an accept failed for want of descriptors, or as a connection was aborted.
@@ -64,8 +65,8 @@
 }
 
 // serveClient starts a client's goroutine. In a crowd two idle clients go for each that comes, so that it gets smaller.
-func (r *Router) serveClient(conn net.Conn, waitedSince clock.Nanos) {
-	c := newClient(r, conn, waitedSince)
+func (r *Router) serveClient(conn net.Conn) {
+	c := newClient(r, conn)
 	if r.clients.add(c) > r.config.Limits.Sockets/crowdedDescriptorShare {
 		for range 2 {
 			r.clients.evictIdle(time.Now(), r.timeouts.message/4)
--- a/internal/router/sparedescriptor.go
+++ b/internal/router/sparedescriptor.go
@@ -46,7 +46,7 @@
 			conn.Close()
 			return
 		}
-		d.admit(conn, 0) // it may have waited any time
+		d.admit(conn)
 	default:
 		d.mu.Lock()
 		v := d.admission.OutOfDescriptors()
--- a/internal/router/unreadage.go
+++ b/internal/router/unreadage.go
@@ -14,35 +14,23 @@
 )
 
 const (
-	// A connection that may have waited so long to be accepted, or bytes that may have lain so long while the process was held up,
-	// are worth a question to the kernel. What a deadline may exceed by is 150 ms (S4).
-	backlogNoticed = 20 * clock.Millisecond
-	stallNoticed   = 150 * clock.Millisecond
+	// Bytes that may have lain so long while the process was held up are worth a question to the kernel. What a deadline may exceed by is
+	// 150 ms (S4).
+	stallNoticed = 150 * clock.Millisecond
 	// After a stall its readers come to what lay unread within this time.
 	stallSettled = 50 * clock.Millisecond
 )
 
-// acceptQueue tells how long a connection may have waited to be accepted. It belongs to the goroutine that accepts.
-type acceptQueue struct {
-	emptyAt clock.Nanos // when the queue was last seen empty; 0: not yet
-	crowded bool        // descriptors were lacking since then
-}
-
-// accepted notes an Accept call and returns since when its connection may have waited: a call that had to wait found the queue empty.
-func (q *acceptQueue) accepted(called, returned clock.Nanos) (since clock.Nanos) {
-	if returned-called > promptRead {
-		q.emptyAt, q.crowded = returned, false
-	}
-	return q.emptyAt
-}
-
 // answerLateness is how long after its time an answer may come: it earns nothing then, and later the request is lost.
 const answerLateness = 500 * clock.Millisecond
 
+// crowdedFor is how long after descriptors were lacking connections may still wait to be accepted.
+const crowdedFor = 2 * clock.Second
+
 // hasWaitedTooLong says whether a connection that was accepted now is to be shut unread: it has waited, while descriptors were lacking,
 // until its request can't be answered any more. In a crowd new connections may be shut so, and nobody waits for this one.
-func (r *Router) hasWaitedTooLong(conn net.Conn, queue *acceptQueue) bool {
-	if !queue.crowded || r.clock.now()-queue.emptyAt <= answerLateness {
+func (r *Router) hasWaitedTooLong(conn net.Conn, lackingAt clock.Nanos) bool {
+	if lackingAt == 0 || r.clock.now()-lackingAt > crowdedFor {
 		return false
 	}
 	age, ok := sinceLastReceived(conn)
@@ -112,18 +100,15 @@
 	return 0, false
 }
 
-// boundByKernel asks the kernel when the last bytes came, where they may have lain unread: on a connection that waited to be accepted, or
-// while the process was held up. The clock at hand does not tell, since nothing of this process ran.
-func (c *client) boundByKernel(first bool, began, ended clock.Nanos) {
-	since, stalled := c.router.stalls.since(ended)
-	if first && ended-began <= promptRead && ended-c.waitedSince > backlogNoticed {
-		since, stalled = c.waitedSince, true
-	}
-	if !stalled {
+// boundByKernel asks the kernel when the last bytes came, where they may have lain unread: on a connection that had waited to be
+// accepted, and while the process was held up. The clock at hand does not tell, since nothing of this process ran.
+func (c *client) boundByKernel(first bool, readAt clock.Nanos) {
+	from, stalled := c.router.stalls.since(readAt)
+	if !first && !stalled {
 		return
 	}
 	if age, ok := sinceLastReceived(c.conn); ok {
-		c.arrived.by = min(c.arrived.by, max(since, ended-clock.Nanos(age)))
+		c.arrived.by = min(c.arrived.by, max(from, readAt-clock.Nanos(age)))
 	}
 }
 
