--- a/internal/backend/laststep_test.go
+++ b/internal/backend/laststep_test.go
@@ -46,20 +46,31 @@
 	}
 }
 
+// deadlinesIn are those of an attempt that nothing but its span, and the position that justified it, bound.
+func deadlinesIn(span, fresh time.Duration) Deadlines {
+	d := Deadlines{Connect: time.Now().Add(time.Hour), Answer: time.Now().Add(span)}
+	if fresh > 0 {
+		d.Fresh = time.Now().Add(fresh)
+	}
+	return d
+}
+
 // What happens after an attempt has got its connection, dialled or rested, and before the first byte of its query still
 // counts: nothing is written then, and the outcome says that nothing ran. The connection is as good as before.
 func TestLastStep(t *testing.T) {
-	const staleCase = "the position that justified it is too old"
+	const position = 200 * time.Millisecond // until it is too old for the read, where there is one
 	for _, c := range []struct {
 		name string
 		late func(d *directory, unwanted *atomic.Bool)
 		span time.Duration // of the attempt
 		want balance.Outcome
+
+		fresh time.Duration // what is known of the node is enough for so long; 0: for ever
 	}{
-		{"the node drains", func(d *directory, _ *atomic.Bool) { d.drain() }, time.Hour, balance.Busy},
-		{"nobody waits any more", func(_ *directory, unwanted *atomic.Bool) { unwanted.Store(true) }, time.Hour, balance.NotSent},
-		{"its time is over", func(*directory, *atomic.Bool) { time.Sleep(200 * time.Millisecond) }, 200 * time.Millisecond, balance.NotSent},
-		{staleCase, func(*directory, *atomic.Bool) { time.Sleep(200 * time.Millisecond) }, time.Hour, balance.NotEligible},
+		{"the node drains", func(d *directory, _ *atomic.Bool) { d.drain() }, time.Hour, balance.Busy, 0},
+		{"nobody waits any more", func(_ *directory, unwanted *atomic.Bool) { unwanted.Store(true) }, time.Hour, balance.NotSent, 0},
+		{"its time is over", func(*directory, *atomic.Bool) { time.Sleep(200 * time.Millisecond) }, 200 * time.Millisecond, balance.NotSent, 0},
+		{"the position that justified it is too old", func(*directory, *atomic.Bool) { time.Sleep(position) }, time.Hour, balance.NotEligible, position},
 	} {
 		for _, rested := range []bool{false, true} {
 			name := c.name + " during a dial"
@@ -75,11 +86,7 @@
 					<-a.Done()
 				}
 				word := query("late")
-				deadlines := Deadlines{Connect: time.Now().Add(time.Hour), Answer: time.Now().Add(c.span)}
-				if c.name == staleCase { // a read whose replica's position is old enough by the time the dial is over
-					deadlines.Fresh = time.Now().Add(200 * time.Millisecond)
-				}
-				a := p.Start(1, deadlines, func(w io.Writer) error {
+				a := p.Start(1, deadlinesIn(c.span, c.fresh), func(w io.Writer) error {
 					if rested {
 						c.late(d, &unwanted)
 					}
--- a/internal/experiment/soak.go
+++ b/internal/experiment/soak.go
@@ -181,7 +181,7 @@
 func (p *soakPlay) launch(r *soakRouter, n int, wait bool) error {
 	life, l := p.record.life(n)
 	done := make(chan struct{})
-	ready, err := r.process.launch()
+	ready, err := r.launch()
 	if err != nil {
 		return err
 	}
--- a/internal/experiment/soak_test.go
+++ b/internal/experiment/soak_test.go
@@ -74,7 +74,7 @@
 		}
 		return all
 	}
-	if text(3) != text(3) || text(3) == text(4) {
+	if first, again := text(3), text(3); first != again || first == text(4) {
 		t.Error("a plan does not follow from its seed")
 	}
 	kinds := map[SoakAction]bool{}
--- a/internal/experiment/soakclient.go
+++ b/internal/experiment/soakclient.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -45,7 +46,6 @@
 	count   int
 	classes []string
 	wrote   int64 // its session's last commit, Unix ms; 0: none
-	group   int64 // where it wrote
 }
 
 // soakConn is one of its connections.
@@ -290,10 +290,11 @@
 // end notes that the connection brought no answers to requests.
 func (c *soakClient) end(list []*soakRequest, err error) {
 	now := time.Now()
-	timeout, ok := err.(net.Error)
+	var timeout net.Error
+	timedOut := errors.As(err, &timeout) && timeout.Timeout()
 	c.play.record.change(func() {
 		for _, q := range list {
-			q.At, q.Ended = now, !ok || !timeout.Timeout()
+			q.At, q.Ended = now, !timedOut
 		}
 	})
 }
