--- a/policy/balance/cold_test.go
+++ b/policy/balance/cold_test.go
@@ -407,3 +407,17 @@
 		t.Errorf("%.2f warm after its process was gone", warm)
 	}
 }
+
+// The same, where three members of one group start cold together, all routers restart with them, and some are told two seconds late: one
+// server gets 161.5 requests of mean work in a span where 156.4 are allowed. It is listed in KNOWN-RED.txt. Of the seeds 24 to 95 it is the
+// only one that fails.
+func TestFleetKeepsTheBoundWhereAGroupStartsCold(t *testing.T) {
+	const seed = 87
+	k := drawColdCase(t, seed)
+	c, mean := k.play(t, seed)
+	for _, id := range k.victims {
+		if worst, sent, allowed := c.nodes[id].most(&c.rigs[0].b.settings, mean); worst > 1 {
+			t.Errorf("node %d: %.1f requests in a span, %.1f allowed; %+v", id, sent, allowed, k)
+		}
+	}
+}
--- a/policy/crdt/broadcaster.go
+++ b/policy/crdt/broadcaster.go
@@ -30,7 +30,7 @@
 
 func (s *BroadcasterSettings) check() error {
 	if s.Bytes < 1 || s.Every < 0 || s.Soon < 0 || s.Members < 1 || s.Pass < 0 || s.First <= 0 || s.Longest < s.First || s.Tries < 1 || s.Queue < 1 || s.Batches < 1 {
-		return errors.New("shared: Bytes, Every, Soon, Members, Pass, First, Longest, Tries, Queue, Batches: missing or out of range")
+		return errors.New("broadcast: Bytes, Members, First, Tries, Queue and Batches are above 0, Longest at least First, the others not negative")
 	}
 	return nil
 }
--- a/policy/crdt/catchup.go
+++ b/policy/crdt/catchup.go
@@ -25,7 +25,7 @@
 
 func (s *CatchUpSettings) check() error {
 	if s.MaxClients < 1 || s.Piece < 1 || s.PerS < s.Piece || s.Small < 1 || s.Pause <= 0 {
-		return errors.New("shared: Most, PerS, Piece, Small, Pause: missing or out of range")
+		return errors.New("catch-up: MaxClients, PerS, Piece, Small and Pause are above 0, PerS at least Piece")
 	}
 	return nil
 }
--- a/policy/crdt/entry.go
+++ b/policy/crdt/entry.go
@@ -110,11 +110,11 @@
 	var errs []error
 	for k := SessionCommit; k < kinds; k++ {
 		if s.MaxEntries[k] < 1 {
-			errs = append(errs, fmt.Errorf("shared: room for no %s", k))
+			errs = append(errs, fmt.Errorf("replicated state: MaxEntries of %s is below 1", k))
 		}
 	}
 	if s.Self.Name == "" || s.MaxOrigins < 1 || s.WriteWindow <= 0 || s.HintLifetime <= 0 || s.LevelLifetime <= 0 || s.MaxAhead <= 0 || s.MaxText < 1 || s.MinLearnInterval < 0 || s.MaxPending < 1 {
-		errs = append(errs, errors.New("shared: Self, Origins, Window, HintFor, LevelFor, Future, MostText, Pace, Fresh: missing or out of range"))
+		errs = append(errs, errors.New("replicated state: Self is named; MaxOrigins, WriteWindow, HintLifetime, LevelLifetime, MaxAhead, MaxText and MaxPending are above 0"))
 	}
 	return errors.Join(errs...)
 }
--- a/policy/persistence/record.go
+++ b/policy/persistence/record.go
@@ -40,11 +40,11 @@
 func (s *Settings) check() error {
 	switch {
 	case s.QueueBytes < 1<<10:
-		return fmt.Errorf("keep: QueueBytes: %d is below 1024", s.QueueBytes)
+		return fmt.Errorf("persistence: QueueBytes: %d is below 1024", s.QueueBytes)
 	case !(s.FsyncsPerSecond >= 0.1 && s.FsyncsPerSecond <= 1000):
-		return fmt.Errorf("keep: Fsyncs: %v is not between 0.1 and 1000", s.FsyncsPerSecond)
+		return fmt.Errorf("persistence: FsyncsPerSecond: %v is not between 0.1 and 1000", s.FsyncsPerSecond)
 	case s.RetryBackoff <= 0 || s.MaxRetryBackoff < s.RetryBackoff:
-		return errors.New("keep: Retry, MostRetry: missing or out of range")
+		return errors.New("persistence: RetryBackoff is above 0, and MaxRetryBackoff not below it")
 	}
 	return nil
 }
--- a/policy/trust/trust.go
+++ b/policy/trust/trust.go
@@ -102,7 +102,7 @@
 
 func (s *Settings) check() error {
 	if s.Capacity < 1 || s.MaxAge <= 0 {
-		return errors.New("evidence: Most, MostAge: missing or out of range")
+		return errors.New("trust: Capacity and MaxAge are above 0")
 	}
 	return nil
 }
--- a/policy/zone/zone.go
+++ b/policy/zone/zone.go
@@ -36,10 +36,10 @@
 // New returns a Tracker without outages.
 func New(s Settings) (*Tracker, error) {
 	if s.Servers < 2 {
-		return nil, fmt.Errorf("hall: Servers: %d, at least 2 wanted: one server is not a hall", s.Servers)
+		return nil, fmt.Errorf("zone: Servers: %d, at least 2 wanted: one server is not a zone", s.Servers)
 	}
 	if s.Backoff <= 0 || s.MaxBackoff < s.Backoff {
-		return nil, errors.New("hall: Pause, MaxPause: missing or out of range")
+		return nil, errors.New("zone: Backoff is above 0, and MaxBackoff not below it")
 	}
 	return &Tracker{settings: s, zones: map[string]*state{}}, nil
 }
