--- a/internal/router/eventloop_test.go
+++ b/internal/router/eventloop_test.go
@@ -94,7 +94,7 @@
 	r := held(t, o, "01", "A")
 	r.client, r.deadline = &client{left: make(chan struct{})}, o.router.clock.now()
 	o.steppedAt.Store(r.deadline) // it had the request in a step at its deadline, and said nothing
-	defer func() { // a debug build stops here
+	defer func() {                // a debug build stops here
 		if p := recover(); (p != nil) != invariant.Debug {
 			t.Errorf("panic %v, in a debug build: %v", p, invariant.Debug)
 		}
