Review case 3: a dropped answer hides a primary's new role, and a stale read is served

An answer equal to the connection's previous one within 10 ms of its query counts as malformed, and what it tells of role and position is dropped with it. A former primary that answers so is kept as the primary, and reads that nobody checks go on going there.

Adds review/3, on the second deployment's settings, where data servers check no read.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,2 @@
+#!/usr/bin/env bash
+exec "$(dirname "$0")/../play.sh" note "review/3/record.txt"
