--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -15,13 +15,13 @@
 func init() { cases["memory"] = playMemory }
 
 // The limits of a router's machine: 32 to 192 MB, and 256 to 1,024 descriptors.
-var usualMachine = limits{Cores: 1, MemoryMB: 128, Sockets: 1024}
+var usualMachine = limits{Cores: 1, MemoryMB: 64, Sockets: 640}
 
 const (
 	valueBytes      = 64 << 10 // the longest value of the protocol page
-	pipelineClients = 170      // at most a third of the descriptors
+	pipelineClients = 80       // at most a third of the descriptors
 	pipelineDepth   = 16       // commands that a client sends at once
-	requestsPerS    = 640      // a router gets 200 to 320 a second, and two to three times as many on one day
+	requestsPerS    = 320      // a router gets 200 to 320 a second
 	writeWaitMS     = 5000     // the deadline of class ausleihe
 	readWaitMS      = 2000     // the deadline of class katalog-lesen
 	serverWork      = 10 * time.Millisecond
--- a/review/standin/stale.go
+++ b/review/standin/stale.go
@@ -281,7 +281,7 @@
 	if err != nil {
 		return nil, err
 	}
-	router, err := startRouter(play.root, play.dir, "n0", discovery, limits{Cores: 1, MemoryMB: 128, Sockets: 1024}, booking)
+	router, err := startRouter(play.root, play.dir, "n0", discovery, limits{Cores: 1, MemoryMB: 64, Sockets: 640}, booking)
 	if err != nil {
 		return nil, err
 	}
