Review: the records name what data servers received, and case 2 counts what was forwarded

A record has to say what was sent, answered and run; the data servers' side was missing in cases 1 and 2.

--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -48,20 +48,21 @@
 
 // valueServer is a data server whose values have the greatest length.
 type valueServer struct {
+	play      *play
 	name      string
 	primary   bool
 	listener  net.Listener
 	cores     chan struct{}
 	hungUntil atomic.Int64 // Unix ns
-	ran       atomic.Int64
+	received  sync.Map     // the ids of the requests that came, without those of the busy spell
 }
 
-func startValueServer(name string, primary bool) (*valueServer, error) {
+func startValueServer(play *play, name string, primary bool) (*valueServer, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	server := &valueServer{name: name, primary: primary, listener: listener, cores: make(chan struct{}, 64)}
+	server := &valueServer{play: play, name: name, primary: primary, listener: listener, cores: make(chan struct{}, 64)}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -99,10 +100,21 @@
 		if err != nil || kind != 'Q' {
 			return
 		}
+		text := string(body[:len(body)-1])
+		request := fields(text)
+		noted := request["id"] != "" && request["id"][0] != 'b'
+		if noted {
+			server.received.Store(request["id"], true)
+			server.play.line("%s: %s of %s came, for %s ms", server.name, request["c"], request["id"], request["d"])
+		}
 		server.awaitHang()
-		if _, err := conn.Write(server.answer(string(body[:len(body)-1]))); err != nil {
+		answer := server.answer(text)
+		if _, err := conn.Write(answer); err != nil {
 			return
 		}
+		if noted {
+			server.play.line("%s: %s of %s has run or been turned away, %d bytes", server.name, request["c"], request["id"], len(answer))
+		}
 	}
 }
 
@@ -121,7 +133,6 @@
 		server.cores <- struct{}{}
 		time.Sleep(serverWork)
 		<-server.cores
-		server.ran.Add(1)
 		value := make([]byte, valueBytes)
 		copy(value, "v:"+request["id"])
 		if request["c"] == "ausleihe" {
@@ -135,11 +146,11 @@
 }
 
 // startServers starts three groups of three data servers; the first of each is the primary.
-func startServers() (servers []*valueServer, discovery *agent, err error) {
+func startServers(play *play) (servers []*valueServer, discovery *agent, err error) {
 	var hosts []host
 	for group := range 3 {
 		for member := range 3 {
-			server, err := startValueServer(fmt.Sprintf("s-%d-%d", group+1, member+1), member == 0)
+			server, err := startValueServer(play, fmt.Sprintf("s-%d-%d", group+1, member+1), member == 0)
 			if err != nil {
 				return nil, nil, err
 			}
@@ -198,7 +209,7 @@
 // playMemory has clients send many commands at once. The first of each is a write, which waits for a primary that hangs;
 // the answers to the reads behind it have to wait for it in the router, as answers come in the order of the commands.
 func playMemory(play *play) ([]string, error) {
-	servers, discovery, err := startServers()
+	servers, discovery, err := startServers(play)
 	if err != nil {
 		return nil, err
 	}
--- a/review/standin/shutdown.go
+++ b/review/standin/shutdown.go
@@ -43,7 +43,7 @@
 	hang := play.trouble
 	hold := play.trouble && os.Getenv("TROUBLE") != "hang"
 	play.line("router %s", name)
-	servers, discovery, err := startServers()
+	servers, discovery, err := startServers(play)
 	if err != nil {
 		return nil, err
 	}
@@ -69,7 +69,7 @@
 	}
 	var clients sync.WaitGroup
 	var mu sync.Mutex
-	counts, broken := map[string]int{}, []string{}
+	counts, broken, forwarded := map[string]int{}, []string{}, 0
 	for number := range 3 * writesEach {
 		id, cluster := fmt.Sprintf("w%d", number), 1+number%3
 		clients.Go(func() {
@@ -95,6 +95,9 @@
 			defer mu.Unlock()
 			counts[result.outcome]++
 			if result.outcome == "closed" || result.outcome == "silent" {
+				if _, ok := servers[3*(cluster-1)].received.Load(id); ok {
+					forwarded++
+				}
 				broken = append(broken, fmt.Sprintf("%s, sent at %.0f ms, got no answer: %s at %.0f ms", id,
 					float64(sent.Sub(play.began).Microseconds())/1e3, result.text, float64(result.at.Sub(play.began).Microseconds())/1e3))
 			}
@@ -115,7 +118,8 @@
 	clients.Wait()
 	play.line("answers: %v", counts)
 	if len(broken) > 0 {
-		return []string{fmt.Sprintf("%d of %d requests that router %s had taken were closed with no answer; the first: %s", len(broken), 3*writesEach, name, broken[0])}, nil
+		return []string{fmt.Sprintf("%d of %d requests that router %s had taken were closed with no answer, %d of them forwarded to a data server; the first: %s",
+			len(broken), 3*writesEach, name, forwarded, broken[0])}, nil
 	}
 	return nil, nil
 }
