--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -14,6 +14,10 @@
 // maxClockAhead is how far in the future a reported commit position may be: data servers round the position up.
 const maxClockAhead = 2 * time.Millisecond
 
+// answerTailBytes is the space for the messages behind the row, so that an answer, which may be held for long, has no
+// more memory than it needs.
+const answerTailBytes = 64
+
 // rowHashSeed seeds the hashes of answers. To detect duplicates, each connection stores the hash of its previous answer
 // instead of the answer, which may be large.
 var rowHashSeed = maphash.MakeSeed()
@@ -98,6 +102,8 @@
 		return fmt.Errorf("%w: data row: %w", pgwire.ErrMalformed, err)
 	}
 	answer.rows++
+	description := answer.messages
+	answer.messages = append(make([]byte, 0, len(description)+message.Size+answerTailBytes), description...)
 	answer.messages = pgwire.Append(answer.messages, message.Kind, message.Body)
 	answer.value = answer.messages[len(answer.messages)-len(value):]
 	return nil
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,6 +50,9 @@
 	ClosedUnread      // client connections closed unread, as they waited too long to be accepted during overload
 	StaleReadsSkipped // attempts not sent because the information about the replica had become too old for the read
 
+	WaitsForAnswerMemory // queries not taken at once, as too many answers waited for earlier ones
+	AnswersDropped       // answers dropped, as they had to wait for earlier ones and there was no memory for them
+
 	counterCount
 )
 
@@ -58,7 +61,8 @@
 	"first", "repeated", "not_primary", "behind", "probes", "probed",
 	"dial_up", "dial_unheard", "dial_too_many", "dial_no_socket", "lists", "no_list",
 	"denied", "denied_again", "denied_late",
-	"shut_unread", "too_old"}
+	"shut_unread", "too_old",
+	"answer_waits", "answers_dropped"}
 
 // outcomeNames has the names of balance.Outcome, whose values start at 1.
 var outcomeNames = [...]string{"", "done", "failed", "busy", "timed_out", "unconnected", "reset", "canceled", "skipped", "miss"}
--- /dev/null
+++ b/internal/router/answermemory_test.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"lotushook/internal/nettest"
+	"lotushook/policy/answerbudget"
+)
+
+// startWithPipeline starts a router with a data server for each of two clusters, and a client that has sent a query to
+// each without waiting. useUpMemory is called before the client sends them.
+func startWithPipeline(t *testing.T, useUpMemory func(*Router)) (*nettest.Network, *Router) {
+	t.Helper()
+	stage, router, _, _ := startRouterWithTimeouts(t, noTimeouts, "h-1 {s1} 1 SERVING", "h-2 {s2} 2 SERVING")
+	useUpMemory(router)
+	stage.Run(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A" | Q "/* id=02,c=read,d=20000,cluster=2 */ A"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	return stage, router
+}
+
+// useUpAnswerMemory reserves all memory for answers.
+func useUpAnswerMemory(router *Router) (reservation answerbudget.Reservation) {
+	router.answerMemory.hold(&reservation, router.answerMemory.budget.Capacity(), true)
+	return reservation
+}
+
+const secondQueryArrives = `
+	wait s2
+	expect s2 startup
+	send s2 welcome
+	expect s2 Q "/* id=02,c=read,d=#,cluster=2 */ A"`
+
+// Guards against pipelined queries that are run without memory for their answers: such a query waits until there is
+// memory, or until it is its client's only one.
+func TestPipelinedQueryWaitsForAnswerMemory(t *testing.T) {
+	for _, isReleased := range []bool{true, false} {
+		var reservation answerbudget.Reservation
+		stage, router := startWithPipeline(t, func(router *Router) { reservation = useUpAnswerMemory(router) })
+		waitUntil(t, "the second query waits for memory", func() bool {
+			return anyClient(router, func(client *client) bool {
+				client.mu.Lock()
+				defer client.mu.Unlock()
+				return len(client.slots) == 2 && client.openQueries == 1
+			})
+		})
+		if stage.HasPendingConnection("s2") {
+			t.Error("the second query was sent without memory for its answer")
+		}
+		if isReleased {
+			router.answerMemory.release(&reservation)
+			stage.Run(secondQueryArrives)
+		}
+		stage.Run(`
+			send s1 T | D "v" | C | S rank=copy | Z
+			expect c1 welcome | T | D "v" | C | Z`)
+		if !isReleased {
+			stage.Run(secondQueryArrives)
+		}
+		stage.Run(`
+			send s2 T | D "w" | C | S rank=copy | Z
+			expect c1 T | D "w" | C | Z`)
+	}
+}
+
+// Guards against answers that are held without memory for them: one that has to wait for its turn is dropped, and its
+// client gets an error in its place and order. One whose turn it is is delivered.
+func TestAnswerWithoutMemoryIsDropped(t *testing.T) {
+	stage, router := startWithPipeline(t, func(*Router) {})
+	stage.Run(secondQueryArrives)
+	stage.Define("value", strings.Repeat("v", 2*answerbudget.SmallAnswer))
+	reservation := useUpAnswerMemory(router)
+	capacity := router.answerMemory.budget.Capacity()
+	stage.Run(`send s2 T | D "{value}" | C | S rank=copy | Z`)
+	waitUntil(t, "the second answer is dropped", func() bool {
+		return router.answerMemory.reserved() < capacity+2*initialAnswerSize
+	})
+	stage.Run(`
+		send s1 T | D "{value}" | C | S rank=copy | Z
+		expect c1 welcome | T | D "{value}" | C | Z | E 53200 | Z`)
+	router.answerMemory.release(&reservation)
+	waitUntil(t, "all memory is released", func() bool { return router.answerMemory.reserved() == 0 })
+}
+
+// Guards against an answer that says that a query may have run which was not forwarded: a query whose time is over when
+// it is taken, as it waited for memory, is rejected with a Retry-After time.
+func TestQueryThatWaitedTooLongIsRejected(t *testing.T) {
+	stage, router, _, _ := startRouterWithTimeouts(t, noTimeouts, "h-1 {s1} 1 SERVING", "h-2 {s2} 2 SERVING")
+	useUpAnswerMemory(router)
+	stage.Run(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A" | Q "/* id=02,c=read,d=1,cluster=2 */ A"
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	time.Sleep(10 * time.Millisecond) // more than the second query's time
+	stage.Run(`
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c1 welcome | T | D "v" | C | Z | E 53300 1000 | Z`)
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -34,11 +34,7 @@
 	request.shareOutcome(action.Endpoint, &result)
 	request.end.Served = result.Outcome == balance.Succeeded
 	if request.end.Served && (waited || !request.clientLeft() || request.client.failedByClient) {
-		request.outcome = endServed
-		if request.result != nil {
-			request.result.value, request.result.served = result.Value, true
-		}
-		return pgwire.AppendReady(result.Answer), true
+		return request.serveAnswer(&result), true
 	}
 	if !waited {
 		return request.canceledAnswer(), true
@@ -46,6 +42,20 @@
 	return nil, false
 }
 
+// serveAnswer returns the final answer to a request that an endpoint has served.
+func (request *request) serveAnswer(result *backend.Result) []byte {
+	if request.result != nil {
+		request.result.value, request.result.served = result.Value, true
+	}
+	answer := pgwire.AppendReady(result.Answer)
+	if request.holdAnswer != nil && !request.holdAnswer(len(answer)) {
+		request.outcome, request.end.Served, request.mayHaveRun = endFailed, false, true
+		return droppedAnswer()
+	}
+	request.outcome = endServed
+	return answer
+}
+
 // awaitAttempt waits for the end of an attempt: its answer, its deadline, the end of the shutdown, or a cancel by the
 // decision module. If the client meanwhile disconnects or cancels the request, the module is notified at once.
 func (request *request) awaitAttempt(pending *backend.Attempt, action balance.Action) backend.Result {
--- a/internal/router/cancelkeys.go
+++ b/internal/router/cancelkeys.go
@@ -69,7 +69,7 @@
 	owner.mu.Lock()
 	defer owner.mu.Unlock()
 	if len(owner.cancelable) > 0 { // cancel the request that is answered next; the ones behind it continue
-		owner.cancelable[0].cancel()
+		closeOnce(owner.cancelable[0])
 		return
 	}
 	owner.earlyCancel = earlyCancel{at: owner.router.clock.now(), unread: unread}
@@ -105,9 +105,9 @@
 	})
 }
 
-// cancel cancels the request. The caller holds the client's lock.
-func (request *request) cancel() {
-	if !request.isCanceled() {
-		close(request.canceled)
+// closeOnce closes a channel unless it is closed. Concurrent callers must hold the same lock.
+func closeOnce(channel chan struct{}) {
+	if !isClosed(channel) {
+		close(channel)
 	}
 }
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"lotushook/internal/backend"
 	"lotushook/internal/changefeed"
 	"lotushook/internal/pgwire"
 	"lotushook/internal/ringbuffer"
@@ -15,9 +14,8 @@
 )
 
 const (
-	maxQueryBytes  = 1 << 20
-	maxAnswerBytes = backend.MaxMessageBytes + 64<<10 // the value and the messages around it
-	maxPipelined   = 16                               // concurrent requests per client
+	maxQueryBytes = 1 << 20
+	maxPipelined  = 16 // concurrent requests per client
 )
 
 // client is one client connection. One goroutine, the reader, reads it. Each query has a task, a goroutine that obtains
@@ -49,7 +47,6 @@
 
 // clientWriter belongs to the task whose turn it is to write its answer; any goroutine may use the channels.
 type clientWriter struct {
-	output           *ringbuffer.Buffer
 	slots            chan struct{} // a semaphore that limits the pipelined requests
 	writeFailed      chan struct{} // closed once an answer could not be written: later answers can't be delivered
 	closeWriteFailed sync.Once
@@ -57,14 +54,14 @@
 
 // clientState is shared by the reader, the tasks and the periodic sweep of all clients (clientSet.sweep).
 type clientState struct {
-	openQueries  int           // read and not yet answered
-	cancelable   []*request    // the open requests that a CancelRequest can name, in the order of their queries
-	earlyCancel  earlyCancel   // a CancelRequest that may name the next query
-	lastAnswered chan struct{} // closed once the most recent query is answered
-	hasQueried   bool          // the client has sent a complete query
-	pipelines    bool          // the client has sent a query before the previous one was answered
-	idleSince    time.Time     // since when no query is open
-	partialSince time.Time     // since when a message is incomplete; zero: none is
+	openQueries  int             // read and not yet answered
+	cancelable   []chan struct{} // of the open requests, in the order of their queries; a CancelRequest closes the first
+	earlyCancel  earlyCancel     // a CancelRequest that may name the next query
+	lastAnswered chan struct{}   // closed once the most recent query is answered; only the reader replaces it
+	hasQueried   bool            // the client has sent a complete query
+	pipelines    bool            // the client has sent a query before the previous one was answered
+	idleSince    time.Time       // since when no query is open
+	partialSince time.Time       // since when a message is incomplete; zero: none is
 	wakeup
 	lingering      bool      // the reader is closing the connection and must not be woken
 	lingeringSince time.Time // since when the reader waits for the client to close its side; zero: it does not
@@ -93,7 +90,6 @@
 		left:         make(chan struct{}),
 		clientReader: clientReader{input: ringbuffer.New(maxQueryBytes).WithQuota(router.readQuota)},
 		clientWriter: clientWriter{
-			output:      ringbuffer.New(maxAnswerBytes),
 			slots:       make(chan struct{}, maxPipelined),
 			writeFailed: make(chan struct{}),
 		},
--- a/internal/router/clientwriter.go
+++ b/internal/router/clientwriter.go
@@ -19,58 +19,50 @@
 	return client.startAnswer(tasks, nil, answer)
 }
 
-// startAnswer runs a task concurrently with the reader and writes the answer that it returns. Each task waits for the
-// answer to the previous query, so that the answers keep the order of the queries. The request, unless nil, can be
-// canceled meanwhile.
+// startAnswer starts a task that obtains the answer to a query and writes it. The request, unless nil, can be canceled
+// meanwhile.
 func (client *client) startAnswer(tasks *sync.WaitGroup, request *request, answer func() []byte) error {
 	if err := client.acquireSlot(); err != nil {
 		return err
 	}
-	previous, current, err := client.openQuery(request)
+	reservation, err := client.reserveAnswer()
 	if err != nil {
 		return err
 	}
-	tasks.Go(func() {
-		message := answer()
-		<-previous
-		if message != nil {
-			if err := client.write(message); err != nil {
-				slog.Debug("client", "err", err)
-			}
-		}
-		if request != nil { // after the answer: a CancelRequest that crosses it must not cancel the next request
-			client.removeCancelable()
-		}
-		close(current)
-		<-client.slots
-		client.closeQuery()
-	})
+	task := &answerTask{client: client, answer: answer, reservation: reservation}
+	if request != nil {
+		request.holdAnswer, task.canceled = task.hold, request.canceled
+	}
+	if err := client.openQuery(task); err != nil {
+		client.router.answerMemory.release(&task.reservation)
+		return err
+	}
+	tasks.Go(task.run)
 	return nil
 }
 
-// openQuery counts a query as open, unless the admission controller rejects it. It returns the channel that is closed
-// once the previous query is answered, and the channel to be closed once this query is answered.
-func (client *client) openQuery(request *request) (previous <-chan struct{}, current chan struct{}, err error) {
+// openQuery counts a task's query as open, unless the admission controller rejects it.
+func (client *client) openQuery(task *answerTask) error {
 	client.mu.Lock()
 	defer client.mu.Unlock()
 	if client.router.acceptor != nil {
 		if err := client.router.acceptor.queryArrived(client); err != nil {
-			return nil, nil, err
+			return err
 		}
 	}
 	client.pipelines = client.pipelines || client.openQueries > 0
 	client.openQueries++
 	client.hasQueried = true
-	if request != nil {
-		client.cancelable = append(client.cancelable, request)
+	if task.canceled != nil {
+		client.cancelable = append(client.cancelable, task.canceled)
 		if client.earlyCancel.names(client.arrived.lastAt) {
-			request.cancel()
+			closeOnce(task.canceled)
 		}
 	}
 	client.earlyCancel = earlyCancel{}
-	previous, current = client.lastAnswered, make(chan struct{})
-	client.lastAnswered = current
-	return previous, current, nil
+	task.previous, task.answered = client.lastAnswered, make(chan struct{})
+	client.lastAnswered = task.answered
+	return nil
 }
 
 // closeQuery counts a query as answered. During a shutdown it closes a client that has no more open queries.
@@ -97,19 +89,14 @@
 
 // write sends bytes to the client. The caller must be the task whose turn it is to answer.
 func (client *client) write(message []byte) error {
-	if _, err := client.output.Write(message); err != nil {
-		return err
-	}
 	if err := client.conn.SetWriteDeadline(time.Now().Add(client.router.timeouts.write)); err != nil {
 		return err
 	}
-	_, err := client.output.WriteTo(client.conn)
+	_, err := client.conn.Write(message)
 	if err != nil { // the message may be truncated, so no other may follow
-		client.output.Discard(client.output.Len())
 		closeQuietly(client.conn)
 		client.closeWriteFailed.Do(func() { close(client.writeFailed) })
 	}
-	client.output.ShrinkIfEmpty()
 	return err
 }
 
--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -140,7 +140,7 @@
 				actions: make(chan balance.Action, actionQueueSize), deadline: now + int64(time.Hour)}
 			pending.deliver(balance.Action{Kind: balance.SendAttempt, Endpoint: update.Endpoints[0].ID, ConnectDeadline: now + int64(time.Hour), AttemptDeadline: now + int64(time.Hour)})
 			if canceled {
-				pending.cancel()
+				closeOnce(pending.canceled)
 			} else {
 				close(pending.client.left)
 			}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -31,6 +31,7 @@
 	attributes := []slog.Attr{
 		slog.String("name", router.config.Name),
 		slog.Int64("resident_kb", residentKB()),
+		slog.Int("answers_kb", router.answerMemory.reserved()/1024),
 		slog.Int("clients", router.clients.len()),
 		slog.Int("open", open),
 		slog.Int("idle", idle),
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -16,7 +16,7 @@
 
 const (
 	deadlineMargin  = 20 * time.Millisecond // the part of a client's wait that covers the transit in both directions
-	decisionTimeout = 15 * time.Millisecond // the maximum wait for a decision after the deadline
+	decisionTimeout = 15 * time.Millisecond // the maximum wait for a decision after the deadline, or after a late arrival
 	actionQueueSize = 8                     // one attempt, one final answer, and cancels sent before these ended
 )
 
@@ -31,6 +31,9 @@
 	actions   chan balance.Action // from the event loop
 	canceled  chan struct{}       // closed by a CancelRequest, under the client's lock; nil: can't be canceled
 	result    *internalResult     // the result of a request that the router itself made; nil: a client made it
+	// holdAnswer reserves memory for an answer of a size in bytes until the client has received it. It returns false if
+	// the answer must be dropped. nil: the router itself made the request.
+	holdAnswer func(size int) bool
 	requestTask
 	requestDecisions
 }
@@ -150,7 +153,8 @@
 
 // serve carries out the decision module's actions until the final answer.
 func (request *request) serve() []byte {
-	overdue := time.NewTimer(time.Until(request.router.clock.at(request.deadline).Add(decisionTimeout)))
+	decideBy := max(request.deadline, request.arrivedAt) // a query that waited for its turn to be taken may be late already
+	overdue := time.NewTimer(time.Until(request.router.clock.at(decideBy).Add(decisionTimeout)))
 	defer overdue.Stop()
 	for {
 		action, decided := request.awaitDecision(overdue.C)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -66,6 +66,8 @@
 	readQuota  *ringbuffer.Quota // for incomplete messages of clients
 	stalls     stallDetector
 	cancelKeys *cancelKeys // of the connected clients
+	// answerMemory limits the memory of answers that wait behind earlier ones.
+	answerMemory *answerMemory
 }
 
 // observability contains the metrics and logs.
@@ -108,6 +110,9 @@
 	router.clients.all = map[*client]struct{}{}
 	router.readQuota = ringbuffer.NewQuota(readQuota)
 	router.cancelKeys = newCancelKeys()
+	if router.answerMemory, err = newAnswerMemory(config.Limits.MemoryMB << 20); err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
 	router.observe(site.Log)
 	router.pool = backend.NewPool(backend.Options{
 		Directory:       router.directory,
@@ -134,7 +139,7 @@
 		router.metrics = metrics.New()
 	}
 	router.accessLog.settings.Store(settings)
-	router.watcher.Metrics = router.metrics
+	router.watcher.Metrics, router.answerMemory.metrics = router.metrics, router.metrics
 }
 
 // addServices creates the optional services that the site configuration enables.
