--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"lotushook/internal/changefeed"
@@ -31,6 +32,7 @@
 	failedByClient bool          // set before left is closed: the client made an error and still receives messages
 	clientReader
 	clientWriter
+	blocked blockedWrite
 
 	mu sync.Mutex // guards the fields below
 	clientState
@@ -43,10 +45,12 @@
 	skipUntilSync    bool                     // after an error in an extended query
 	unusableInRow    int                      // consecutive unusable queries (see rejectUnusable)
 	feedSubscription *changefeed.Subscription // nil: the client has not queried a change feed
+	readingEnded     atomic.Bool              // nothing more is to be read; any goroutine may set it
 }
 
 // clientWriter belongs to the task whose turn it is to write its answer; any goroutine may use the channels.
 type clientWriter struct {
+	writes           writeProgress
 	slots            chan struct{} // a semaphore that limits the pipelined requests
 	writeFailed      chan struct{} // closed once an answer could not be written: later answers can't be delivered
 	closeWriteFailed sync.Once
--- a/internal/router/clientidle.go
+++ b/internal/router/clientidle.go
@@ -11,7 +11,8 @@
 	evictableSilence time.Duration // likewise, the connection time of a client that has not sent a query
 	openRequests     time.Duration // the maximum delay of a fatal error by open requests
 	firstQuery       time.Duration // for a new client to send its first query during a shutdown
-	finalAnswers     time.Duration // for clients to read their answers at the end of a shutdown
+	finalAnswers     time.Duration // for clients to send further queries, and to take an answer, at the end of a shutdown
+	maxFinalAnswers  time.Duration // from the end of the open requests in a shutdown until all connections are closed
 	lingeringClose   time.Duration // for reading and discarding input after the last message was sent
 }
 
@@ -24,6 +25,7 @@
 	openRequests:     500 * time.Millisecond,
 	firstQuery:       500 * time.Millisecond,
 	finalAnswers:     100 * time.Millisecond,
+	maxFinalAnswers:  time.Second,
 	lingeringClose:   250 * time.Millisecond,
 }
 
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -22,6 +22,9 @@
 // readMore waits for more bytes. From the first byte of a message on, the periodic sweep of all clients limits the time
 // until its last byte.
 func (client *client) readMore() error {
+	if client.readingEnded.Load() {
+		return client.awaitLastAnswer()
+	}
 	client.notePartial()
 	first := client.arrived.lastAt == 0
 	startedAt := client.router.clock.now()
--- a/internal/router/clientwriter.go
+++ b/internal/router/clientwriter.go
@@ -92,7 +92,9 @@
 	if err := client.conn.SetWriteDeadline(time.Now().Add(client.router.timeouts.write)); err != nil {
 		return err
 	}
+	client.writes.begun.Add(1)
 	_, err := client.conn.Write(message)
+	client.writes.ended.Add(1)
 	if err != nil { // the message may be truncated, so no other may follow
 		closeQuietly(client.conn)
 		client.closeWriteFailed.Do(func() { close(client.writeFailed) })
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -39,7 +39,7 @@
 
 // noTimeouts is for tests that do not depend on timeouts.
 var noTimeouts = clientTimeouts{message: time.Hour, write: time.Hour, idle: time.Hour, evictableIdle: time.Hour, evictableSilence: time.Hour, openRequests: time.Millisecond,
-	firstQuery: time.Hour, finalAnswers: time.Hour, lingeringClose: time.Millisecond}
+	firstQuery: time.Hour, finalAnswers: time.Hour, maxFinalAnswers: time.Hour, lingeringClose: time.Millisecond}
 
 // startRouter starts a router with data servers s1 and s2 in group 1 and a discovery agent that does not answer.
 // Clients have names that begin with c.
--- a/internal/router/shutdown.go
+++ b/internal/router/shutdown.go
@@ -19,6 +19,7 @@
 	answerMargin       = 300 * time.Millisecond
 	killAfterDeadline  = 700 * time.Millisecond // the router may be killed this long after the longest request deadline
 	maxAwaitedDeadline = 3 * time.Second        // longer deadlines count as this
+	finalTick          = 10 * time.Millisecond  // between two looks at the clients at the end of a shutdown
 )
 
 // shutdownControl contains the timing of the graceful shutdown. Tests replace its functions before the router serves.
@@ -70,7 +71,10 @@
 }
 
 // endShutdown ends the open requests after the shutdown timeout: they are answered, further queries that were received
-// are rejected, and all connections are closed shortly after. It returns early if the context ends.
+// are rejected, and then all connections are closed (see closeAnswered). It returns early if the context ends.
+//
+// The time for that is counted in ticks and not by the clock: a process that is held up must not find, when it resumes,
+// that the time for its answers is over before it could write any.
 func (router *Router) endShutdown(ctx context.Context, timeoutEnd <-chan time.Time) {
 	select {
 	case <-ctx.Done():
@@ -79,10 +83,15 @@
 	}
 	close(router.shutdown.over)
 	router.clients.each((*client).closeIfIdle)
-	select {
-	case <-ctx.Done():
-	case <-time.After(router.timeouts.finalAnswers):
-		router.clients.each(func(client *client) { closeQuietly(client.conn) })
+	ticker := time.NewTicker(finalTick)
+	defer ticker.Stop()
+	for elapsed := finalTick; ; elapsed += finalTick {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			router.clients.each(func(client *client) { client.closeAnswered(elapsed) })
+		}
 	}
 }
 
--- a/internal/router/shutdown_test.go
+++ b/internal/router/shutdown_test.go
@@ -382,3 +382,52 @@
 		})
 	}
 }
+
+// Guards against connections that are closed at the end of a shutdown before their tasks had the time to write: the
+// answer comes later than finalAnswers after the end of the open requests, and still arrives.
+func TestLateAnswerAtTheEndOfAShutdown(t *testing.T) {
+	acceptEnd, timeoutEnd := make(chan time.Time), make(chan time.Time)
+	close(acceptEnd)
+	endTimeout := sync.OnceFunc(func() { close(timeoutEnd) })
+	t.Cleanup(endTimeout)
+	timeouts := noTimeouts
+	timeouts.finalAnswers = time.Millisecond
+	stage, router, shutDown, done := startRouterOn(t, newPausingListener(t), 0, &siteconfig.Config{}, acceptEnd, timeoutEnd, timeouts, "h-1 {s1} 1 SERVING")
+	stage.Run(`
+		send c1 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ A" | Q ""
+		expect c1 welcome
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ A"`)
+	shutDown()
+	waitUntil(t, "the shutdown has begun", router.clients.isDraining)
+	router.answerMemory.mu.Lock() // each task needs it before it writes
+	endTimeout()
+	waitUntil(t, "the open requests are ended", router.shutdown.isOver)
+	time.Sleep(10 * finalTick)
+	router.answerMemory.mu.Unlock()
+	stage.Run(`expect c1 E 58000 | Z | I | Z | EOF`)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// A client that pipelines requests and does not close its side after its last answer is not awaited at the end of a
+// shutdown. One that takes no answers isn't either (TestStopsForAll).
+func TestEndOfAShutdownEndsLingering(t *testing.T) {
+	acceptEnd, timeoutEnd := make(chan time.Time), make(chan time.Time)
+	close(acceptEnd)
+	close(timeoutEnd)
+	timeouts := noTimeouts
+	timeouts.finalAnswers, timeouts.lingeringClose = 2*finalTick, time.Hour
+	stage, _, shutDown, done := startRouterOn(t, newPausingListener(t), 0, &siteconfig.Config{}, acceptEnd, timeoutEnd, timeouts, "h-1 {s1} 1 SERVING")
+	stage.Run(`
+		send c1 startup | Q "" | Q ""
+		expect c1 welcome | I | Z | I | Z`)
+	shutDown()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	stage.Run(`expect c1 EOF`)
+}
