Read what has arrived of an answer before it counts as stalled

Callers would have seen a reset, for a write that must not repeat a failure, where the router was held up for over 50 ms in the middle of reading a good answer.

Cause: each read of an answer that has begun has a deadline, set as the read before is done; a read past its deadline fails without a look at the socket.

Change: nextReply reads once more, without waiting, when the deadline is over. The reads with and without waiting share one function, which keeps the check for an attempt under the connection's lock. It works as bytes that are there are no silence.

--- a/internal/backend/backend_test.go
+++ b/internal/backend/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -200,6 +201,20 @@
 	}
 }
 
+// Guards against good answers that are taken for stalled ones after the process was held up in the middle of reading
+// them: the rest has arrived, though the stall timeout is over before it is read.
+func TestArrivedAnswerIsReadAfterTheStallTimeout(t *testing.T) {
+	network, pool, _ := newTestPool(t, 1024)
+	pool.StallTimeout = time.Nanosecond // over before each read
+	value := strings.Repeat("v", 16<<10)
+	network.Define("value", value) // longer than one read
+	attempt := pool.try()
+	network.Run(handshakeAndQuery + `send s T | D "{value}" | C | S rank=copy | Z`)
+	if result := <-attempt.Done(); result.Outcome != balance.Succeeded || string(result.Value) != value {
+		t.Errorf("outcome %d, %d bytes, %v", result.Outcome, len(result.Value), result.Err)
+	}
+}
+
 // If nothing listens at the address, the query did not run.
 func TestNoListener(t *testing.T) {
 	network, pool, _ := newTestPool(t, 1024)
--- a/internal/backend/reply.go
+++ b/internal/backend/reply.go
@@ -3,37 +3,63 @@
 import (
 	"errors"
 	"io"
+	"os"
 	"syscall"
 	"time"
 
 	"lotushook/internal/pgwire"
 )
 
-// replyReader reads the messages of a data server, solicited or not. It reads and checks for a current attempt under
-// one lock: otherwise bytes that were read before an attempt was bound could be taken for its answer.
+// replyReader reads the messages of a data server, solicited or not, and waits for them.
 type replyReader struct{ *serverConn }
 
 // Read implements io.Reader.
 func (reader replyReader) Read(buffer []byte) (n int, err error) {
-	finished := false
 	waitErr := reader.rawSocket.Read(func(fd uintptr) bool {
-		reader.mu.Lock()
-		defer reader.mu.Unlock()
-		n, err = syscall.Read(int(fd), buffer)
-		finished = !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR)
-		reader.unsolicited = reader.unsolicited || finished && reader.current == nil
-		return finished || errors.Is(err, syscall.EINTR)
+		n, err = reader.readAvailable(fd, buffer)
+		return !errors.Is(err, syscall.EAGAIN)
 	})
-	switch {
-	case waitErr != nil:
+	if waitErr != nil {
 		return 0, waitErr
+	}
+	return reader.checkRead(n, err)
+}
+
+// availableReplyReader is a replyReader that does not wait: it returns an error if no bytes have arrived.
+type availableReplyReader struct{ *serverConn }
+
+// Read implements io.Reader.
+func (reader availableReplyReader) Read(buffer []byte) (n int, err error) {
+	controlErr := reader.rawSocket.Control(func(fd uintptr) { n, err = reader.readAvailable(fd, buffer) })
+	if controlErr != nil {
+		return 0, controlErr
+	}
+	return reader.checkRead(n, err)
+}
+
+// readAvailable reads from the socket without waiting. It reads and checks for a current attempt under one lock:
+// otherwise bytes that were read before an attempt was bound could be taken for its answer.
+func (conn *serverConn) readAvailable(fd uintptr, buffer []byte) (n int, err error) {
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	for {
+		n, err = syscall.Read(int(fd), buffer)
+		if !errors.Is(err, syscall.EINTR) {
+			break
+		}
+	}
+	conn.unsolicited = conn.unsolicited || !errors.Is(err, syscall.EAGAIN) && conn.current == nil
+	return n, err
+}
+
+// checkRead returns the result of a read from the socket as an io.Reader does.
+func (conn *serverConn) checkRead(n int, err error) (int, error) {
+	switch {
 	case err != nil:
 		return 0, err
-	case !finished: // interrupted
-		return reader.Read(buffer)
 	case n == 0:
 		return 0, io.EOF
-	case reader.isUnsolicited():
+	case conn.isUnsolicited():
 		return 0, errUnsolicited
 	}
 	return n, nil
@@ -53,7 +79,8 @@
 }
 
 // nextReply returns the next message of an answer. Bytes that arrive without an attempt are an error, and once an
-// answer has begun, each read must finish within the stall timeout.
+// answer has begun, each read must finish within the stall timeout. Bytes that have arrived by then are read even if
+// the process was held up meanwhile.
 func (conn *serverConn) nextReply(begun bool) (pgwire.Message, error) {
 	for {
 		message, err := pgwire.Next(conn.in)
@@ -63,7 +90,11 @@
 		if begun = begun || conn.in.Len() > 0; begun {
 			conn.socket.SetReadDeadline(time.Now().Add(conn.pool.StallTimeout))
 		}
-		if err := conn.in.Fill(replyReader{conn}); err != nil {
+		err = conn.in.Fill(replyReader{conn})
+		if errors.Is(err, os.ErrDeadlineExceeded) && conn.in.Fill(availableReplyReader{conn}) == nil {
+			err = nil
+		}
+		if err != nil {
 			return message, err
 		}
 	}
