Store session keys, idempotency keys and team names without their statements

Cause: a Go substring keeps the whole string. Evidence: 64 statements of 256 KiB are parsed and only their keys kept: 17.3 MB stay, with keys of 512 KiB 50.9 MB. Found by following what holds a query's text after the fault of the waiting answers.

TestStoredNamesKeepNoStatement failed in both cases before.

--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -1,6 +1,8 @@
 package pgwire
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -9,7 +11,8 @@
 	"time"
 )
 
-// Request is the information about a request in the comment before its statement.
+// Request is the information about a request in the comment before its statement. Key, Team and Session may be stored
+// after the request has ended; they hold no part of its text.
 type Request struct {
 	ID         string
 	Class      string
@@ -20,7 +23,7 @@
 	After      int64  // the log position that a session read must see, in Unix ms
 	HasAfter   bool   // whether the comment has a position
 	Team       string // the team that the comment names
-	Session    string // the first quoted string of the statement, which is the session's key
+	Session    string // the session's key: the first quoted string of the statement, or a digest of it if it is long
 	History    string // of a change feed's cursor: the log history (see policy/cursor) to which After belongs
 	Generation int64  // of a change feed's cursor: distinguishes the subscriber's connections
 
@@ -68,7 +71,7 @@
 			return request, fmt.Errorf("%w: no %s", ErrComment, name)
 		}
 	}
-	request.Session = firstQuoted(text[end+2:])
+	request.Session = sessionKey(firstQuoted(text[end+2:]))
 	return request, nil
 }
 
@@ -92,9 +95,9 @@
 	case "c":
 		request.Class = value
 	case "team":
-		request.Team = value
+		request.Team = strings.Clone(value)
 	case "k":
-		request.Key, err = value, checkName(value)
+		request.Key, err = strings.Clone(value), checkName(value)
 	case "r":
 		request.Retry = value == "1"
 	case "d":
@@ -147,6 +150,18 @@
 	return nil
 }
 
+// maxSessionKeyLength is the length in bytes up to which a session's key is stored as it is.
+const maxSessionKeyLength = 64
+
+// sessionKey returns a copy of a session's key, or the key's digest if it is longer than maxSessionKeyLength.
+func sessionKey(key string) string {
+	if len(key) <= maxSessionKeyLength {
+		return strings.Clone(key)
+	}
+	digest := sha256.Sum256([]byte(key))
+	return "sha256:" + hex.EncodeToString(digest[:])
+}
+
 // firstQuoted returns the first quoted string of a statement.
 func firstQuoted(statement string) string {
 	_, statement, ok := strings.Cut(statement, "'")
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -234,3 +236,37 @@
 		}
 	}
 }
+
+// Guards against session keys, idempotency keys and team names that keep their whole statements in memory: they are
+// stored long after the request has ended, and the longest statement has 1 MiB. A long session key is not stored as it
+// is, but distinguishes sessions all the same.
+func TestStoredNamesKeepNoStatement(t *testing.T) {
+	const statements, maxBytes = 64, 1 << 20
+	long := strings.Repeat("s", 512<<10)
+	heap := func() uint64 {
+		var stats runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	for _, prefix := range []string{"s", long} {
+		before := heap()
+		var stored []string
+		sessions := map[string]bool{}
+		for number := range statements {
+			parsed, err := ParseRequest(fmt.Sprintf(`/* id=%d,c=order,d=480,k=key%d,team=t%d,cluster=2 */ INSERT INTO objects (oid, body) VALUES ('%s%d', '\x%s')`,
+				number, number, number, prefix, number, strings.Repeat("9f", 128<<10)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			stored = append(stored, parsed.Key, parsed.Team, parsed.Session)
+			sessions[parsed.Session] = true
+		}
+		if growth := int64(heap()) - int64(before); growth > maxBytes {
+			t.Errorf("%d statements with session keys of %d bytes: their names hold %d bytes", statements, len(prefix)+1, growth)
+		}
+		if len(sessions) != statements || len(stored) != 3*statements {
+			t.Errorf("%d sessions of %d are distinguished", len(sessions), statements)
+		}
+	}
+}
