--- a/internal/backend/answer.go
+++ b/internal/backend/answer.go
@@ -18,9 +18,9 @@
 // more memory than it needs.
 const answerTailBytes = 64
 
-// rowHashSeed seeds the hashes of answers. To detect duplicates, each connection stores the hash of its previous answer
-// instead of the answer, which may be large.
-var rowHashSeed = maphash.MakeSeed()
+// answerHashSeed seeds the hashes of answers. To detect duplicates, each connection stores the hash of its previous
+// answer instead of the answer, which may be large.
+var answerHashSeed = maphash.MakeSeed()
 
 // partialAnswer collects the messages of one answer and checks that their order is valid.
 type partialAnswer struct {
@@ -30,12 +30,15 @@
 	value    []byte
 	result   Result
 	complete bool
+	hash     maphash.Hash // of all messages but ReadyForQuery
+	sameRow  bool         // its row equals that of the previous answer, and it came within the duplicate window
 }
 
 // readAnswer reads the messages of one answer, up to ReadyForQuery. On an idle connection it blocks until an attempt
 // starts or the connection ends. keep reports whether the connection is in a known state and may be reused.
 func (conn *serverConn) readAnswer() (attempt *Attempt, result Result, keep bool) {
 	var answer partialAnswer
+	answer.hash.SetSeed(answerHashSeed)
 	for received := 0; !answer.complete; {
 		message, err := conn.nextReply(answer.messages != nil || answer.result.Outcome != 0)
 		if err == nil {
@@ -56,10 +59,10 @@
 }
 
 // fail returns the result of an answer that ended with an error. If the outcome was already known before the error, it
-// remains, unless the error is a malformed or too long message.
+// remains, unless the error is a malformed or too long message, or the answer may be a duplicate (see addReady).
 func (answer *partialAnswer) fail(err error) Result {
 	var tooLong *pgwire.TooLongError
-	if answer.result.Outcome == 0 || errors.Is(err, pgwire.ErrMalformed) || errors.As(err, &tooLong) {
+	if answer.result.Outcome == 0 || answer.sameRow || errors.Is(err, pgwire.ErrMalformed) || errors.As(err, &tooLong) {
 		return Result{Outcome: balance.ConnectionReset, Err: err}
 	}
 	answer.result.Err = err
@@ -68,6 +71,10 @@
 
 // addMessage adds the next message to an answer, or returns an error if it may not come at this point.
 func (conn *serverConn) addMessage(answer *partialAnswer, message pgwire.Message) error {
+	if message.Kind != pgwire.ReadyForQuery {
+		answer.hash.WriteByte(message.Kind)
+		answer.hash.Write(message.Body)
+	}
 	switch message.Kind {
 	case pgwire.ParameterStatus:
 		return answer.result.addParameter(message.Body, time.Now())
@@ -82,7 +89,7 @@
 	case pgwire.ErrorResponse:
 		return answer.addError(message)
 	case pgwire.ReadyForQuery:
-		return answer.addReady(message)
+		return conn.addReady(answer, message)
 	}
 	return fmt.Errorf("%w: unexpected message %q in an answer", pgwire.ErrMalformed, message.Kind)
 }
@@ -114,11 +121,9 @@
 	if answer.attempt == nil || answer.rows != 1 || answer.result.Outcome != 0 || err != nil {
 		return fmt.Errorf("%w: CommandComplete after %d rows: %w", pgwire.ErrMalformed, answer.rows, err)
 	}
-	hash := maphash.Bytes(rowHashSeed, answer.messages)
-	if hash == conn.previousRow && conn.sinceSent() < conn.pool.DuplicateWindow {
-		return fmt.Errorf("%w: duplicate of the previous answer", pgwire.ErrMalformed)
-	}
-	conn.previousRow = hash
+	row := maphash.Bytes(answerHashSeed, answer.messages)
+	answer.sameRow = row == conn.previousRow && conn.sinceSent() < conn.pool.DuplicateWindow
+	conn.previousRow = row
 	answer.result.Outcome = balance.Succeeded
 	answer.result.Answer = pgwire.Append(answer.messages, message.Kind, message.Body)
 	answer.result.Value = answer.value
@@ -134,11 +139,21 @@
 	return nil
 }
 
-func (answer *partialAnswer) addReady(message pgwire.Message) error {
+// addReady ends an answer, unless it is a duplicate. A second copy of the previous answer that crosses a query looks
+// like the answer to it. The copy equals that answer in everything, also in the role and position that it reports, which
+// are known already. An answer with the same row that reports another role or position is no copy.
+func (conn *serverConn) addReady(answer *partialAnswer, message pgwire.Message) error {
 	const idle = "I"
 	if answer.attempt == nil || answer.result.Outcome == 0 || string(message.Body) != idle {
 		return fmt.Errorf("%w: unexpected ReadyForQuery", pgwire.ErrMalformed)
 	}
+	if answer.result.Outcome == balance.Succeeded {
+		hash := answer.hash.Sum64()
+		if answer.sameRow && hash == conn.previousAnswer {
+			return fmt.Errorf("%w: duplicate of the previous answer", pgwire.ErrMalformed)
+		}
+		conn.previousAnswer = hash
+	}
 	answer.complete = true
 	return nil
 }
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -53,8 +53,9 @@
 
 // connReader holds the fields that only the connection's goroutine uses.
 type connReader struct {
-	in          *ringbuffer.Buffer
-	previousRow uint64 // hash of the previous answer
+	in             *ringbuffer.Buffer
+	previousRow    uint64 // hash of the row of the previous successful answer
+	previousAnswer uint64 // hash of all its messages
 }
 
 // connWriter holds the fields that the goroutine that writes a query uses.
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -32,7 +32,7 @@
 	// DialDelay is called before each dial, which is then delayed by wait, at most maxWait. If ok is false, the dial
 	// must not be made and the query counts as not sent. If DialDelay is nil, dials are not delayed.
 	DialDelay       func(maxWait time.Duration) (wait time.Duration, ok bool)
-	DuplicateWindow time.Duration // an answer equal to the previous one within this time after its query is a duplicate
+	DuplicateWindow time.Duration // an answer that equals the previous one in all it says, within this time after its query, is a duplicate
 }
 
 // Pool contains the connections to all data servers. It is safe for concurrent use.
