--- a/internal/backend/attempt.go
+++ b/internal/backend/attempt.go
@@ -30,6 +30,9 @@
 	Connect time.Time // the connection must be established by then
 	Answer  time.Time // the caller aborts the attempt then
 	Fresh   time.Time // the query is not sent later, as the endpoint may be too far behind then; zero: no limit
+	// AsPrimary is when the endpoint was known to be the primary, for a query that relies on it: the query is not sent if
+	// the endpoint has since reported that it is a replica. Zero: the query does not rely on it.
+	AsPrimary time.Time
 }
 
 // Attempt is one query sent to an endpoint. It yields exactly one Result.
@@ -51,7 +54,7 @@
 // connect deadline. It returns without waiting for either. If there is no result by the answer deadline, the caller
 // must abort the attempt. As a dial takes time, the conditions for sending the query are checked once, right before its
 // first byte: stillWanted, which must not block, must return true, and the endpoint must still be allowed to get
-// queries, and the fresh deadline must not have passed. Otherwise the query does not run. If that is because it is no
+// queries and be the primary if the query relies on it, and the fresh deadline must not have passed. Otherwise the query does not run. If that is because it is no
 // longer wanted, the outcome does not count against the endpoint.
 func (pool *Pool) Start(endpoint balance.EndpointID, deadlines Deadlines, writeQuery func(io.Writer) error, stillWanted func() bool) *Attempt {
 	attempt := &Attempt{
--- a/internal/backend/bind.go
+++ b/internal/backend/bind.go
@@ -16,6 +16,7 @@
 	bindNotAllowed            // the endpoint must not get new queries
 	bindMoved                 // the endpoint has another address now
 	bindUnusable              // the connection has ended or carries unread bytes
+	bindDemoted               // the endpoint has reported that it is no longer the primary
 	bindStale                 // the fresh deadline has passed: the endpoint may be too far behind
 )
 
@@ -36,6 +37,8 @@
 		return bindUnwanted
 	case address != conn.address:
 		return bindMoved
+	case !attempt.deadlines.AsPrimary.IsZero() && conn.pool.roles.isReplicaSince(conn.endpoint, attempt.deadlines.AsPrimary):
+		return bindDemoted
 	case !attempt.deadlines.Fresh.IsZero() && now.After(attempt.deadlines.Fresh):
 		return bindStale
 	}
--- a/internal/backend/bind_test.go
+++ b/internal/backend/bind_test.go
@@ -117,6 +117,62 @@
 	}
 }
 
+// Guards against reads that are sent to a former primary after it has reported that it is a replica: the decision to send
+// them was made before, and their connections came up late.
+func TestDemotedAtTheLastStep(t *testing.T) {
+	for _, tc := range []struct {
+		name      string
+		reports   []string // roles in the answers that other connections get during the dial
+		asPrimary bool
+		want      balance.Outcome
+	}{
+		{"it has reported that it is a replica", []string{"copy"}, true, balance.NotEligible},
+		{"it has reported that it is the primary", []string{"source"}, true, balance.Succeeded},
+		{"it has become the primary again", []string{"copy", "source"}, true, balance.Succeeded},
+		{"the query does not rely on it", []string{"copy"}, false, balance.Succeeded},
+		{"the report came before the decision", nil, true, balance.Succeeded},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			network, pool, _ := newTestPool(t, 1024)
+			answerWithRole := func(role string) {
+				attempt := pool.try()
+				network.Run(`
+					wait s as other
+					expect other startup
+					send other welcome
+					expect other Q "A"
+					send other T | D "v" | C | S rank=` + role + ` | Z
+					close other`)
+				<-attempt.Done()
+				waitFor(t, "the other connection has ended", func() bool { return pool.Idle() == 0 })
+			}
+			answerWithRole("copy")
+			deadlines := newDeadlines(time.Hour, 0)
+			if tc.asPrimary {
+				deadlines.AsPrimary = time.Now()
+			}
+			attempt := pool.Start(1, deadlines, writeQuery("late"), nil)
+			network.Run("wait s\nexpect s startup")
+			for _, role := range tc.reports {
+				answerWithRole(role)
+			}
+			network.Run("send s welcome")
+			if tc.want == balance.Succeeded {
+				network.Run("expect s Q \"late\"\n" + answerOK)
+			}
+			select {
+			case result := <-attempt.Done():
+				if result.Outcome != tc.want {
+					t.Errorf("outcome %d, %v", result.Outcome, result.Err)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatal("the query was sent")
+			}
+			waitFor(t, "the connection is idle again", func() bool { return pool.Idle() == 1 })
+		})
+	}
+}
+
 // If an endpoint gets another address while its connection is dialed or reused, the query is sent to the new address:
 // the old one may belong to another server by now.
 func TestMovedAtTheLastStep(t *testing.T) {
--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -27,6 +27,7 @@
 	errUnwanted    = errors.New("the deadline has passed or the query is no longer wanted")
 	errTooLong     = fmt.Errorf("%w: answer too long", pgwire.ErrMalformed)
 	errDraining    = errors.New("the endpoint is draining")
+	errDemoted     = errors.New("the endpoint is no longer the primary")
 	errStale       = errors.New("the known position of the endpoint has become too old for this read")
 )
 
@@ -129,6 +130,7 @@
 		attempt.finish(result)
 		return false
 	}
+	conn.pool.roles.record(conn.endpoint, result.Role, time.Now())
 	conn.mu.Lock()
 	conn.current = nil
 	conn.mu.Unlock()
--- a/internal/backend/pool.go
+++ b/internal/backend/pool.go
@@ -38,6 +38,7 @@
 // Pool contains the connections to all data servers. It is safe for concurrent use.
 type Pool struct {
 	Options
+	roles  reportedRoles
 	mu     sync.Mutex
 	idle   map[balance.EndpointID][]*serverConn // by endpoint; the most recently used last
 	all    map[*serverConn]struct{}
@@ -46,7 +47,12 @@
 
 // NewPool returns a pool without connections.
 func NewPool(options Options) *Pool {
-	return &Pool{Options: options, idle: map[balance.EndpointID][]*serverConn{}, all: map[*serverConn]struct{}{}}
+	return &Pool{
+		Options: options,
+		roles:   reportedRoles{byEndpoint: map[balance.EndpointID]reportedRole{}},
+		idle:    map[balance.EndpointID][]*serverConn{},
+		all:     map[*serverConn]struct{}{},
+	}
 }
 
 // Run closes idle connections well before the data servers would, until the context ends; then it closes all
@@ -82,6 +88,10 @@
 // retire closes connections that have been idle since before the given time, and all idle connections to endpoints that
 // are draining, are removed or have another address.
 func (pool *Pool) retire(before time.Time) {
+	pool.roles.forget(func(endpoint balance.EndpointID) bool {
+		_, ready := pool.Directory.Address(endpoint)
+		return !ready
+	})
 	var expired []*serverConn
 	pool.mu.Lock()
 	for endpoint, list := range pool.idle {
--- a/internal/backend/send.go
+++ b/internal/backend/send.go
@@ -70,6 +70,9 @@
 	case bindStale:
 		conn.pool.Metrics.Add(metrics.StaleReadsSkipped)
 		attempt.finish(Result{Outcome: balance.NotEligible, Err: errStale})
+	case bindDemoted:
+		conn.pool.Metrics.Add(metrics.StaleReadsSkipped)
+		attempt.finish(Result{Outcome: balance.NotEligible, Err: errDemoted})
 	case bindNotAllowed:
 		attempt.finish(Result{Outcome: balance.Busy, Err: errDraining})
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -48,7 +48,7 @@
 	DeniedLate       // of DeniedByRecovery: attempts whose response could not arrive before the deadline
 
 	ClosedUnread      // client connections closed unread, as they waited too long to be accepted during overload
-	StaleReadsSkipped // attempts not sent because the information about the replica had become too old for the read
+	StaleReadsSkipped // attempts not sent because the information about the endpoint had become too old: a replica's position, or that it is the primary
 
 	WaitsForAnswerMemory // queries not taken at once, as too many answers waited for earlier ones
 	AnswersDropped       // answers dropped, as they had to wait for earlier ones and there was no memory for them
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -17,6 +17,10 @@
 // 1/retryTransitDivisor of the window, which is reserved for its transit to the data server.
 const retryTransitDivisor = 8
 
+// maxReportDelay is how long the decision module may take to learn of an answer that was read. An answer that was read
+// less than this before an attempt may have been unknown when the attempt was decided.
+const maxReportDelay = 50 * time.Millisecond
+
 // attempt sends the query to the endpoint that the action names, waits for the result and reports it to the decision
 // module. A request never has two open attempts. If the attempt ends the request, answer is the final answer.
 func (request *request) attempt(action balance.Action) (answer []byte, ended bool) {
@@ -26,6 +30,9 @@
 	if action.FreshnessDeadline > 0 {
 		deadlines.Fresh = request.router.clock.at(action.FreshnessDeadline)
 	}
+	if action.AtPrimary {
+		deadlines.AsPrimary = request.router.clock.at(startedAt).Add(-maxReportDelay)
+	}
 	pending := request.router.pool.Start(action.Endpoint, deadlines, request.writeQuery, request.isStillWanted)
 	result := request.awaitAttempt(pending, action)
 	waited := !request.checkAbandoned()
--- a/policy/balance/action.go
+++ b/policy/balance/action.go
@@ -28,6 +28,7 @@
 	Request           string
 	Attempt           int
 	Endpoint          EndpointID
+	AtPrimary         bool        // SendAttempt: Endpoint is the group's primary, as far as the module knows
 	AttemptDeadline   clock.Nanos // SendAttempt: when to abort the attempt
 	ConnectDeadline   clock.Nanos // SendAttempt: when to abort it if no connection is up by then, so that nothing ran
 	FreshnessDeadline clock.Nanos // SendAttempt: when to end it as NotEligible if unsent, as the replica may lag; 0: never
--- a/policy/balance/replay_test.go
+++ b/policy/balance/replay_test.go
@@ -22,5 +22,5 @@
 			}
 		}
 	}
-	digest.Check(t, "9d731876c0029799/1597840")
+	digest.Check(t, "beb032b7c13b0c34/1732276")
 }
--- a/policy/balance/retry.go
+++ b/policy/balance/retry.go
@@ -35,7 +35,7 @@
 	req.inFlight++
 	ep.warmUp.Sent(lb.classes.Work(req.class))
 	req.draw = 0 // the next attempt needs a new draw
-	lb.emit(Action{Kind: SendAttempt, Request: req.id, Endpoint: ep.id,
+	lb.emit(Action{Kind: SendAttempt, Request: req.id, Endpoint: ep.id, AtPrimary: ep == ep.group.primary,
 		AttemptDeadline: lb.attemptDeadline(req, ep), Reason: lb.sendReason(req, ep),
 		ConnectDeadline: lb.connectDeadline(req), FreshnessDeadline: lb.freshnessDeadline(req, ep)})
 }
