--- a/internal/experiment/memory_test.go
+++ b/internal/experiment/memory_test.go
@@ -98,6 +98,7 @@
 }
 
 func (test *slowQueryCase) run(t *testing.T) {
+	t.Helper()
 	t.Parallel()
 	const (
 		hang     = 7 * time.Second
