--- a/review/play2/client.go
+++ b/review/play2/client.go
@@ -196,7 +196,7 @@
 			for time.Now().Before(end) {
 				next = next.Add(time.Duration(rand.ExpFloat64() / l.rate * float64(time.Second)))
 				time.Sleep(time.Until(next))
-				l.running.Go(func() { l.one(i, l.draw(), false, 0) })
+				l.running.Go(func() { l.one(i, 1+rand.IntN(l.groups), l.draw(), false, 0, "") })
 			}
 		})
 	}
@@ -228,15 +228,15 @@
 	return dialClient(l.world.routers[router].address)
 }
 
-func (l *load) one(router int, class *class, again bool, after int64) {
+func (l *load) one(router, group int, class *class, again bool, after int64, session string) {
 	w := l.world
 	conn, err := l.take(router)
 	if err != nil {
 		return
 	}
-	request := w.newRequest(router, 1+rand.IntN(l.groups), class)
+	request := w.newRequest(router, group, class)
 	request.d = time.Duration(float64(class.deadline) * l.try())
-	request.after = after
+	request.after, request.session = after, session
 	leaves := rand.Float64() < l.left
 	if leaves {
 		wait := time.Duration(rand.Int64N(int64(class.objective)))
@@ -252,7 +252,7 @@
 		w.note("router %d closed a connection under %s", router, request.id)
 		if fresh, err := dialClient(w.routers[router].address); err == nil {
 			second := w.newRequest(router, request.group, class)
-			second.d, second.note = request.d, "again for "+request.id
+			second.d, second.after, second.session, second.note = request.d, after, session, "again for "+request.id
 			fresh.ask(w, second)
 			conn = fresh
 		}
@@ -263,12 +263,12 @@
 		l.mu.Unlock()
 	}
 	if l.retries && !again && (request.outcome == "refused" || request.outcome == "failed" && class.effect == "free") {
-		l.one(router, class, true, after)
+		l.one(router, group, class, true, after, session)
 	}
 	if read := l.sessionRead(); class.read == "mutate" && request.outcome == "served" && read != nil {
 		commit := w.commitOf(request.id)
 		time.Sleep(time.Duration(rand.ExpFloat64() * 0.15 * float64(time.Second)))
-		l.one(rand.IntN(len(w.routers)), read, false, commit)
+		l.one(rand.IntN(len(w.routers)), group, read, false, commit, request.id)
 	}
 }
 
--- a/review/play2/memory.go
+++ b/review/play2/memory.go
@@ -9,7 +9,14 @@
 	"time"
 )
 
-func init() { cases["memory"] = entry{oberland, memory} }
+func init() {
+	cases["memory"] = entry{oberland, func(w *world) error { return memory(w, manyFields()) }}
+	cases["values"] = entry{func() *site {
+		s := oberland()
+		s.memoryMB = 64
+		return s
+	}, func(w *world) error { return memory(w, "") }}
+}
 
 // badClients is how many bad clients there are at a time.
 const badClients = 40
@@ -31,7 +38,7 @@
 
 // memory plays bad clients whose lines hardly end, beside the usual clients of a calm day. As the platform does, it
 // kills a router that has more memory than its configuration allows.
-func memory(w *world) error {
+func memory(w *world, command string) error {
 	w.addRouters()
 	w.addGroups(2, 3)
 	if err := w.startAll(); err != nil {
@@ -44,7 +51,7 @@
 		time.AfterFunc(3*time.Second, func() {
 			w.note("%d bad clients begin", badClients)
 			for range badClients {
-				others.Go(func() { w.sendManyFields(stop) })
+				others.Go(func() { w.sendLong(command, stop) })
 			}
 		})
 	}
@@ -96,8 +103,21 @@
 	return 0
 }
 
-// sendManyFields sends the command, reads the error, and does so again as soon as it is turned away.
-func (w *world) sendManyFields(stop chan struct{}) {
+// longCommands is how many commands with long values a client sends at once.
+const longCommands = 4
+
+// longWrites returns commands with long values, which can be read and run.
+func (w *world) longWrites() (out []byte) {
+	for range longCommands {
+		request := &requestRecord{id: randomID(), class: "ausleihe", key: randomID(), group: 1, d: 5 * time.Second}
+		text := strings.Replace(request.text("mutate"), "9f03", strings.Repeat("9f", 500_000), 1)
+		out = append(out, queryMessage(text)...)
+	}
+	return out
+}
+
+// sendLong sends a command or, without one, commands with long values, reads the answers, and does so again.
+func (w *world) sendLong(command string, stop chan struct{}) {
 	for {
 		select {
 		case <-stop:
@@ -109,13 +129,19 @@
 			time.Sleep(5 * msec)
 			continue
 		}
-		conn.SetDeadline(time.Now().Add(3 * time.Second))
-		if _, err := conn.Write(queryMessage(manyFields())); err == nil {
-			for {
-				got, err := readMessage(conn.reader)
-				if err != nil || got.kind == 'E' {
-					break
-				}
+		out, answers := queryMessage(command), 1
+		if command == "" {
+			out, answers = w.longWrites(), longCommands
+		}
+		conn.SetDeadline(time.Now().Add(6 * time.Second))
+		go func() { _, _ = conn.Write(out) }() // the end of the answers shows a failure, too
+		for answers > 0 {
+			got, err := readMessage(conn.reader)
+			if err != nil {
+				break
+			}
+			if got.kind == 'E' || got.kind == 'C' {
+				answers--
 			}
 		}
 		conn.Close()
