--- a/internal/pgwire/comment.go
+++ b/internal/pgwire/comment.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -37,12 +38,16 @@
 
 const maxTimeout = time.Hour
 
-// ParseRequest parses a statement with its comment:
+// maxFields is how many fields a comment may have. It is several times the number of known names.
+const maxFields = 64
+
+// ParseRequest parses a statement with its comment, without allocating memory for each field:
 //
 //	/* id=9b1f,c=order,d=480,k=5c0f,cluster=2,after=1767225600123 */ SELECT ...
 //
 // The names are id for ID, c for Class, d for Timeout in ms, k for Key, r for Retry, cluster for Cluster (the group),
-// after for After, team for Team, history for History and gen for Generation. Unknown names are ignored.
+// after for After, team for Team, history for History and gen for Generation. Unknown names are ignored. It is an error
+// if a name is repeated or there are more than maxFields fields.
 func ParseRequest(text string) (Request, error) {
 	request := Request{text: text}
 	start := len(text) - len(strings.TrimLeft(text, " \t\r\n"))
@@ -55,19 +60,24 @@
 		return request, fmt.Errorf("%w: does not end", ErrComment)
 	}
 	end := start + length
-	seen := map[string]bool{}
+	names := make([]string, 0, maxFields)
 	for offset := start; offset < end; {
 		next := end
 		if comma := strings.IndexByte(text[offset:end], ','); comma >= 0 {
 			next = offset + comma
 		}
-		if err := request.parseField(offset, next, seen); err != nil {
+		if len(names) == maxFields {
+			return request, fmt.Errorf("%w: more than %d fields", ErrComment, maxFields)
+		}
+		name, err := request.parseField(offset, next, names)
+		if err != nil {
 			return request, err
 		}
+		names = append(names, name)
 		offset = next + 1
 	}
 	for _, name := range []string{"id", "c", "d", "cluster"} {
-		if !seen[name] {
+		if !slices.Contains(names, name) {
 			return request, fmt.Errorf("%w: no %s", ErrComment, name)
 		}
 	}
@@ -75,8 +85,9 @@
 	return request, nil
 }
 
-// parseField parses one name and value, which are the bytes of the text between two offsets.
-func (request *Request) parseField(start, end int, seen map[string]bool) error {
+// parseField parses one name and value, which are the bytes of the text between two offsets, and returns the name. It
+// is an error if the name is among those of the earlier fields.
+func (request *Request) parseField(start, end int, earlier []string) (string, error) {
 	for start < end && request.text[start] == ' ' {
 		start++
 	}
@@ -84,10 +95,9 @@
 		end--
 	}
 	name, value, ok := strings.Cut(request.text[start:end], "=")
-	if !ok || name == "" || value == "" || seen[name] {
-		return fmt.Errorf("%w: bad or repeated field %.40q", ErrComment, request.text[start:end])
+	if !ok || name == "" || value == "" || slices.Contains(earlier, name) {
+		return "", fmt.Errorf("%w: bad or repeated field %.40q", ErrComment, request.text[start:end])
 	}
-	seen[name] = true
 	var err error
 	switch name {
 	case "id":
@@ -127,9 +137,9 @@
 		request.HasAfter, request.afterSpan = true, [2]int{end - len(value), end}
 	}
 	if err != nil {
-		return fmt.Errorf("%w: %s: bad value %.40q", ErrComment, name, value)
+		return "", fmt.Errorf("%w: %s: bad value %.40q", ErrComment, name, value)
 	}
-	return nil
+	return name, nil
 }
 
 const maxNameLength = 64
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -270,12 +270,12 @@
 // 1.
 func CheckOneRow(body []byte) error {
 	tag, rest, ok := cstring(body)
-	words := strings.Split(tag, " ")
-	last := words[len(words)-1]
-	for i, word := range words {
+	last := ""
+	for word := range strings.SplitSeq(tag, " ") {
 		verb := word != "" && strings.Trim(word, "ABCDEFGHIJKLMNOPQRSTUVWXYZ") == ""
-		number := i > 0 && word != "" && strings.Trim(word, "0123456789") == ""
+		number := last != "" && word != "" && strings.Trim(word, "0123456789") == ""
 		ok = ok && (verb || number)
+		last = word
 	}
 	if !ok || len(rest) > 0 || last != "1" && strings.Trim(last, "0123456789") == "" {
 		return fmt.Errorf("%w: command tag %.40q", ErrMalformed, tag)
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -270,3 +270,51 @@
 		}
 	}
 }
+
+// TestManyFieldsNeedNoMemory guards against messages whose very many short parts take many times the memory of the
+// message while it is parsed: the router passed its memory limit when some clients sent such queries (review/6).
+func TestManyFieldsNeedNoMemory(t *testing.T) {
+	var comment strings.Builder
+	for i := 0; comment.Len() < 1<<20; i++ {
+		fmt.Fprintf(&comment, "f%d=1,", i)
+	}
+	query := "/* " + comment.String() + "id=1,c=a,d=1,cluster=1 */ x"
+	tag := append([]byte(strings.Repeat("A ", 1<<19)), "1\x00"...)
+	for _, tc := range []struct {
+		name     string
+		parse    func() error
+		maxBytes uint64
+	}{
+		{"request comment", func() error { _, err := ParseRequest(query); return err }, 4 << 10},
+		{"command tag", func() error { return CheckOneRow(tag) }, uint64(len(tag)) + 16<<10}, // one copy of it
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			err := tc.parse()
+			runtime.ReadMemStats(&after)
+			if allocated := after.TotalAlloc - before.TotalAlloc; allocated > tc.maxBytes {
+				t.Errorf("allocated %d bytes, at most %d allowed (result: %v)", allocated, tc.maxBytes, err)
+			}
+		})
+	}
+}
+
+// A comment may have as many fields as are allowed, unknown ones included, and no name twice.
+func TestNumberOfFields(t *testing.T) {
+	withFields := func(count int) string {
+		text := "/* id=1,c=a,d=1,cluster=1"
+		for i := 4; i < count; i++ {
+			text += fmt.Sprintf(",f%d=1", i)
+		}
+		return text + " */ x"
+	}
+	if _, err := ParseRequest(withFields(maxFields)); err != nil {
+		t.Errorf("%d fields: %v", maxFields, err)
+	}
+	for _, text := range []string{withFields(maxFields + 1), "/* id=1,c=a,d=1,cluster=1,f=1,f=1 */ x"} {
+		if _, err := ParseRequest(text); !errors.Is(err, ErrComment) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
