--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -105,6 +105,7 @@
 		return Message{}, &TooLongError{kind, size}
 	}
 	if buffer.Len() < size { // the buffer grows with the bytes received, not with the announced length
+		buffer.Expect(size)
 		return Message{}, ErrIncomplete
 	}
 	return Message{kind, buffer.Peek(size)[headerSize:], size}, nil
--- a/internal/ringbuffer/ringbuffer.go
+++ b/internal/ringbuffer/ringbuffer.go
@@ -48,6 +48,7 @@
 	buf        []byte
 	start, len int
 	cap        int
+	expected   int    // the length of the message that is being received, as far as announced
 	quota      *Quota // nil: only the capacity limits the buffer
 }
 
@@ -69,6 +70,10 @@
 // Size returns the allocated memory in bytes.
 func (buffer *Buffer) Size() int { return len(buffer.buf) }
 
+// Expect announces the length of the message that is being received. The buffer still grows with the bytes received,
+// but in few steps, each of which copies what has been received.
+func (buffer *Buffer) Expect(length int) { buffer.expected = length }
+
 // reserve allocates space for n more bytes.
 func (buffer *Buffer) reserve(n int) error {
 	need := buffer.len + n
@@ -76,7 +81,7 @@
 		return ErrFull
 	}
 	if need > len(buffer.buf) {
-		size := min(buffer.cap, round(need))
+		size := min(buffer.cap, round(max(need, min(2*len(buffer.buf), buffer.expected))))
 		if !buffer.quota.reserve(size - max(len(buffer.buf), MinSize)) {
 			return ErrFull
 		}
--- a/internal/ringbuffer/ringbuffer_test.go
+++ b/internal/ringbuffer/ringbuffer_test.go
@@ -134,3 +134,28 @@
 		t.Errorf("read of an empty buffer: %v", err)
 	}
 }
+
+// TestLongMessageIsCopiedFewTimes guards against buffers that grow in small steps and copy all that was received at each
+// of them, which took most of the processor time when clients sent messages of 1 MiB (review/6).
+func TestLongMessageIsCopiedFewTimes(t *testing.T) {
+	const length = 1 << 20
+	buffer := New(length)
+	source := bytes.NewReader(make([]byte, length))
+	allocated, size := 0, 0
+	for buffer.Len() < length {
+		buffer.Expect(length)
+		if err := buffer.Fill(source); err != nil {
+			t.Fatal(err)
+		}
+		if buffer.Size() != size {
+			size = buffer.Size()
+			allocated += size
+		}
+		if size > max(MinSize, 2*buffer.Len()) {
+			t.Fatalf("%d bytes of memory for %d received", size, buffer.Len())
+		}
+	}
+	if size != length || allocated > 2*length {
+		t.Errorf("%d bytes of memory, %d in all steps", size, allocated)
+	}
+}
