--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -12,6 +12,7 @@
 	"lotushook/internal/ringbuffer"
 	"lotushook/policy/admission"
 	"lotushook/policy/contract"
+	"lotushook/policy/inputpacing"
 )
 
 const (
@@ -42,6 +43,7 @@
 type clientReader struct {
 	input            *ringbuffer.Buffer
 	arrived          arrivals                 // when the bytes of the input were sent
+	pacing           inputpacing.Client       // guarded by the lock of the router's inputPacer
 	skipUntilSync    bool                     // after an error in an extended query
 	unusableInRow    int                      // consecutive unusable queries (see rejectUnusable)
 	feedSubscription *changefeed.Subscription // nil: the client has not queried a change feed
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -27,11 +27,15 @@
 	}
 	client.notePartial()
 	first := client.arrived.lastAt == 0
+	before := client.input.Len()
 	startedAt := client.router.clock.now()
 	err := client.input.Fill(client.conn)
 	endedAt := client.router.clock.now()
 	client.arrived.recordRead(startedAt, endedAt)
 	client.boundArrivalByKernel(first, endedAt)
+	if err == nil {
+		return client.paceInput(0, client.input.Len()-before)
+	}
 	if !errors.Is(err, os.ErrDeadlineExceeded) {
 		return err
 	}
@@ -39,7 +43,7 @@
 	// know, and are read first. Reading continues while the client keeps sending, until no bytes are available, a
 	// message is complete, or the buffer is full.
 	if client.input.Fill(availableReader{client.conn}) == nil {
-		return nil
+		return client.paceInput(0, client.input.Len()-before)
 	}
 	return client.handleWakeup(err)
 }
@@ -160,6 +164,9 @@
 	if err := client.noteComplete(); err != nil {
 		return err
 	}
+	if err := client.paceInput(1, 0); err != nil {
+		return err
+	}
 	err = client.handleMessage(tasks, message)
 	client.input.Discard(message.Size)
 	client.input.ShrinkIfEmpty() // so that a large query is in memory only once, as its text
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	timeouts   clientTimeouts
 	readQuota  *ringbuffer.Quota // for incomplete messages of clients
 	stalls     stallDetector
+	inputPacer *inputPacer
 	cancelKeys *cancelKeys // of the connected clients
 	// answerMemory limits the memory of answers that wait behind earlier ones.
 	answerMemory *answerMemory
@@ -110,6 +111,9 @@
 	router.clients.all = map[*client]struct{}{}
 	router.readQuota = ringbuffer.NewQuota(readQuota)
 	router.cancelKeys = newCancelKeys()
+	if router.inputPacer, err = newInputPacer(config.Limits.Cores); err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
 	if router.answerMemory, err = newAnswerMemory(config.Limits.MemoryMB << 20); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
