--- a/internal/backend/conn.go
+++ b/internal/backend/conn.go
@@ -73,7 +73,7 @@
 		endpoint:   endpoint,
 		address:    address,
 		connReader: connReader{in: ringbuffer.New(MaxMessageBytes).WithQuota(pool.ReadQuota)},
-		connWriter: connWriter{out: ringbuffer.New(MaxMessageBytes), written: make(chan bool, 1)},
+		connWriter: connWriter{out: ringbuffer.New(maxWriteBytes), written: make(chan bool, 1)},
 	}
 }
 
--- a/internal/backend/send.go
+++ b/internal/backend/send.go
@@ -10,35 +10,83 @@
 	"lotushook/policy/balance"
 )
 
+// maxWriteBytes is how much of a query is copied at once to be written: a long query is in memory only once, as its text.
+const maxWriteBytes = 16 << 10
+
+// errNotBound reports that bind has not permitted to send a query.
+var errNotBound = errors.New("the query must not be sent")
+
+// queryWriter writes an attempt's query to the socket through the connection's output buffer. Right before the first
+// byte it binds the attempt to the connection. The caller flushes the rest.
+type queryWriter struct {
+	*serverConn
+	attempt *Attempt
+	isBound bool
+	bound   bindResult // of the call to bind
+}
+
+// Write implements io.Writer.
+func (writer *queryWriter) Write(part []byte) (int, error) { return writer.WriteString(string(part)) }
+
+// WriteString implements io.StringWriter.
+func (writer *queryWriter) WriteString(part string) (written int, err error) {
+	for written < len(part) {
+		if writer.out.Len() == maxWriteBytes {
+			if err := writer.flush(); err != nil {
+				return written, err
+			}
+		}
+		next := min(len(part)-written, maxWriteBytes-writer.out.Len())
+		if _, err := writer.out.WriteString(part[written : written+next]); err != nil {
+			return written, err
+		}
+		written += next
+	}
+	return written, nil
+}
+
+func (writer *queryWriter) flush() error {
+	if !writer.isBound {
+		if writer.bound = writer.attempt.bind(writer.serverConn); writer.bound != bindOK {
+			return errNotBound
+		}
+		writer.isBound = true
+		writer.socket.SetWriteDeadline(writer.attempt.deadlines.Answer)
+	}
+	_, err := writer.out.WriteTo(writer.socket)
+	return err
+}
+
 // send writes an attempt's query, unless bind finds that it must not be sent.
 func (conn *serverConn) send(attempt *Attempt) {
-	err := attempt.writeQuery(conn.out) // before bind, so that the first byte is sent right after its checks
-	if err != nil {
-		conn.discardQuery()
-		conn.returnToPool()
-		attempt.finish(Result{Outcome: outcomeNotSent, Err: fmt.Errorf("write: %w", err)})
-		return
+	writer := &queryWriter{serverConn: conn, attempt: attempt}
+	err := attempt.writeQuery(writer)
+	if err == nil {
+		err = writer.flush()
 	}
-	if bound := attempt.bind(conn); bound != bindOK {
-		conn.discardQuery()
-		conn.reject(attempt, bound)
-		return
-	}
-	conn.socket.SetWriteDeadline(attempt.deadlines.Answer)
-	_, err = conn.out.WriteTo(conn.socket)
-	complete := conn.out.Len() == 0
 	conn.discardQuery()
-	if complete {
+	switch {
+	case err == nil:
 		conn.written <- true
-		return
+	case errors.Is(err, errNotBound):
+		conn.reject(attempt, writer.bound)
+	case !writer.isBound:
+		conn.returnToPool()
+		attempt.finish(Result{Outcome: outcomeNotSent, Err: fmt.Errorf("write: %w", err)})
+	default:
+		conn.writeFailed(attempt, err)
 	}
+}
+
+// writeFailed closes the connection after a query was not written completely. The query did not run.
+func (conn *serverConn) writeFailed(attempt *Attempt, err error) {
 	conn.close()
 	running := attempt.unbind()
 	conn.written <- false
 	switch {
 	case !running:
 	case conn.hasServed() && !errors.Is(err, os.ErrDeadlineExceeded):
-		conn.pool.assign(attempt) // the incomplete query did not run; use another connection
+		conn.pool.assign(attempt) // use another connection
 	default:
 		attempt.finish(Result{Outcome: balance.ConnectionRefused, Err: fmt.Errorf("write: %w", err)})
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -50,8 +50,9 @@
 	ClosedUnread      // client connections closed unread, as they waited too long to be accepted during overload
 	StaleReadsSkipped // attempts not sent because the information about the endpoint had become too old: a replica's position, or that it is the primary
 
-	WaitsForAnswerMemory // queries not taken at once, as too many answers waited for earlier ones
+	WaitsForAnswerMemory // queries not taken at once, as open queries and answers that waited used up their memory
 	AnswersDropped       // answers dropped, as they had to wait for earlier ones and there was no memory for them
+	WaitsForInputMemory  // waits of readers for memory for the rest of a message
 
 	counterCount
 )
@@ -62,7 +63,7 @@
 	"dial_up", "dial_unheard", "dial_too_many", "dial_no_socket", "lists", "no_list",
 	"denied", "denied_again", "denied_late",
 	"shut_unread", "too_old",
-	"answer_waits", "answers_dropped"}
+	"answer_waits", "answers_dropped", "input_waits"}
 
 // outcomeNames has the names of balance.Outcome, whose values start at 1.
 var outcomeNames = [...]string{"", "done", "failed", "busy", "timed_out", "unconnected", "reset", "canceled", "skipped", "miss"}
--- a/internal/router/answers.go
+++ b/internal/router/answers.go
@@ -14,6 +14,9 @@
 // rejectedByShutdown is the reason for rejecting requests that can't be completed before the shutdown ends.
 var rejectedByShutdown = &rejectionReason{text: "the router stops"}
 
+// rejectedForMemory is the reason for rejecting long requests while requests use up the memory that they may take.
+var rejectedForMemory = &rejectionReason{text: "too many long requests are open"}
+
 // rejectedAnswer returns the answer to a request that was not run, so that the client may safely retry it. A retryAfter
 // other than 0 is the time to wait before the retry.
 func rejectedAnswer(retryAfter clock.Nanos, reason *rejectionReason) []byte {
--- a/internal/router/answertask.go
+++ b/internal/router/answertask.go
@@ -4,7 +4,7 @@
 	"log/slog"
 
 	"lotushook/internal/pgwire"
-	"lotushook/policy/answerbudget"
+	"lotushook/policy/requestmemory"
 )
 
 // answerTask obtains the answer to one query, concurrently with the reader, and writes it. It waits for the answer to
@@ -15,7 +15,7 @@
 	canceled    chan struct{} // closed by a CancelRequest, under the client's lock; nil: can't be canceled
 	previous    <-chan struct{}
 	answered    chan struct{} // closed once the answer is written
-	reservation answerbudget.Reservation
+	reservation requestmemory.Reservation
 	isHeld      bool // the reservation is that of the answer itself
 }
 
@@ -23,6 +23,7 @@
 	client := task.client
 	message := task.answer()
 	task.answer = nil // it refers to the query's text, which must not stay in memory while the answer waits
+	client.router.requestMemory.releaseQuery(&task.reservation)
 	if !task.hold(len(message)) {
 		message = droppedAnswer()
 	}
@@ -32,7 +33,7 @@
 			slog.Debug("client", "err", err)
 		}
 	}
-	client.router.answerMemory.release(&task.reservation)
+	client.router.requestMemory.release(&task.reservation)
 	if task.canceled != nil { // after the answer: a CancelRequest that crosses it must not cancel the next request
 		client.removeCancelable()
 	}
@@ -48,7 +49,7 @@
 		return true
 	}
 	task.isHeld = true
-	return task.client.router.answerMemory.hold(&task.reservation, size, isClosed(task.previous))
+	return task.client.router.requestMemory.hold(&task.reservation, size, isClosed(task.previous))
 }
 
 // droppedAnswer returns the error in place of an answer that was dropped. The query has run.
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -68,6 +68,7 @@
 	pipelines    bool            // the client has sent a query before the previous one was answered
 	idleSince    time.Time       // since when no query is open
 	partialSince time.Time       // since when a message is incomplete; zero: none is
+	partialBytes int             // the memory of the incomplete message, when partialSince is set
 	wakeup
 	lingering      bool      // the reader is closing the connection and must not be woken
 	lingeringSince time.Time // since when the reader waits for the client to close its side; zero: it does not
--- a/internal/router/clientidle.go
+++ b/internal/router/clientidle.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"lotushook/internal/ringbuffer"
+)
 
 // clientTimeouts limits the time that clients may take.
 type clientTimeouts struct {
@@ -87,6 +91,15 @@
 	return client.partialSince, partial
 }
 
+// longPartialState is partialState for messages that take memory from others.
+func (client *client) longPartialState() (since time.Time, partial bool) {
+	client.mu.Lock()
+	isLong := client.partialBytes > ringbuffer.MinSize
+	client.mu.Unlock()
+	since, partial = client.partialState()
+	return since, partial && isLong
+}
+
 // closeIfIdle makes the reader close the connection, unless a request is open or has arrived.
 func (client *client) closeIfIdle() {
 	client.mu.Lock()
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"lotushook/internal/changefeed"
+	"lotushook/internal/metrics"
 	"lotushook/internal/pgwire"
+	"lotushook/internal/ringbuffer"
 	"lotushook/policy/balance"
 	"lotushook/policy/clock"
 )
@@ -17,6 +19,9 @@
 	unusablePauseStep = 10 * time.Millisecond // the pause grows by this with each consecutive unusable query
 	maxUnusablePause  = 250 * time.Millisecond
 	onlySimpleQueries = "only simple queries are served"
+
+	// The time between two attempts of a reader to get memory for the rest of a message.
+	inputMemoryInterval = 10 * time.Millisecond
 )
 
 // readMore waits for more bytes. From the first byte of a message on, the periodic sweep of all clients limits the time
@@ -30,6 +35,9 @@
 	before := client.input.Len()
 	startedAt := client.router.clock.now()
 	err := client.input.Fill(client.conn)
+	if errors.Is(err, ringbuffer.ErrFull) {
+		return client.awaitInputMemory(err)
+	}
 	endedAt := client.router.clock.now()
 	client.arrived.recordRead(startedAt, endedAt)
 	client.boundArrivalByKernel(first, endedAt)
@@ -48,10 +56,30 @@
 	return client.handleWakeup(err)
 }
 
+// awaitInputMemory waits for memory for the rest of a message. While there is none, the clients whose messages have been
+// incomplete for longest make room. It returns full, the error that there is no memory, if the message's time is over.
+func (client *client) awaitInputMemory(full error) error {
+	client.router.metrics.Add(metrics.WaitsForInputMemory)
+	client.router.clients.rejectLongPartial(time.Now())
+	if err := client.pause(inputMemoryInterval, client.router.shutdown.over); err != nil {
+		return err
+	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	switch {
+	case client.rejection != nil:
+		return client.rejection
+	case client.overdue:
+		return full
+	}
+	return nil
+}
+
 // notePartial records since when a message is incomplete.
 func (client *client) notePartial() {
 	client.mu.Lock()
 	defer client.mu.Unlock()
+	client.partialBytes = client.input.Size()
 	switch {
 	case client.input.Len() == 0: // a startup message that arrived in parts is complete
 		client.partialSince = time.Time{}
@@ -191,7 +219,7 @@
 		return errDone
 	case pgwire.Sync:
 		client.skipUntilSync = false
-		return client.answerLocally(tasks, pgwire.AppendReady(nil))
+		return client.answerMessage(tasks, pgwire.AppendReady(nil))
 	case pgwire.Flush:
 		return nil
 	case pgwire.Parse, pgwire.Bind, pgwire.Describe, pgwire.Execute, pgwire.Close:
@@ -199,9 +227,9 @@
 			return nil
 		}
 		client.skipUntilSync = true
-		return client.answerLocally(tasks, pgwire.AppendError(nil, "ERROR", pgwire.CodeNotSupported, onlySimpleQueries, ""))
+		return client.answerMessage(tasks, pgwire.AppendError(nil, "ERROR", pgwire.CodeNotSupported, onlySimpleQueries, ""))
 	case pgwire.FunctionCall:
-		return client.answerLocally(tasks, errorAnswer(pgwire.CodeNotSupported, onlySimpleQueries))
+		return client.answerMessage(tasks, errorAnswer(pgwire.CodeNotSupported, onlySimpleQueries))
 	case pgwire.Query:
 		if client.skipUntilSync {
 			return nil
@@ -211,33 +239,48 @@
 	return fmt.Errorf("%w: unknown message %q", pgwire.ErrMalformed, message.Kind)
 }
 
-// handleQuery starts the task of a query.
+// handleQuery starts the task of a query. Its text is copied from the input only once there is memory for it.
 func (client *client) handleQuery(tasks *sync.WaitGroup, body []byte) error {
 	arrivedAt := client.arrived.sentBy
+	slot, err := client.acquireSlot(len(body))
+	if err != nil {
+		return err
+	}
 	text, err := pgwire.QueryText(body)
 	if err != nil {
+		client.router.requestMemory.release(&slot.reservation)
 		return err
 	}
 	if pgwire.IsBlank(text) {
-		return client.startTask(tasks, client.answerReadiness)
+		return client.startTask(tasks, slot, client.answerReadiness)
 	}
 	parsed, err := pgwire.ParseRequest(text)
 	if err != nil {
-		return client.rejectUnusable(tasks, pgwire.CodeSyntax, err)
+		return client.rejectUnusable(tasks, slot, pgwire.CodeSyntax, err)
 	}
 	if err := client.router.config.Settings.ValidateKey(parsed.Class, parsed.Key); err != nil {
-		return client.rejectUnusable(tasks, pgwire.CodeInvalidParameter, err)
+		return client.rejectUnusable(tasks, slot, pgwire.CodeInvalidParameter, err)
 	}
 	if !client.router.directory.HasGroup(parsed.Cluster) {
 		err := fmt.Errorf("no data server of cluster %d is listed", parsed.Cluster)
-		return client.rejectUnusable(tasks, pgwire.CodeInvalidParameter, err)
+		return client.rejectUnusable(tasks, slot, pgwire.CodeInvalidParameter, err)
 	}
 	client.unusableInRow = 0
+	if !slot.hasMemory {
+		return client.rejectWithoutMemory(tasks, slot, &parsed)
+	}
 	if client.router.changefeed != nil && client.router.changefeed.feeds.Serves(parsed.Class) {
-		return client.handleFeedQuery(tasks, &parsed, arrivedAt)
+		return client.handleFeedQuery(tasks, slot, &parsed, arrivedAt)
 	}
 	request := newRequest(client, parsed, client.router.shutdown.limit(deadlineOf(&parsed, arrivedAt)))
-	return client.startAnswer(tasks, request, request.run)
+	return client.startAnswer(tasks, slot, request, request.run)
+}
+
+// rejectWithoutMemory answers a request that is too long for the memory that is left. It is not run.
+func (client *client) rejectWithoutMemory(tasks *sync.WaitGroup, slot querySlot, parsed *pgwire.Request) error {
+	client.router.metrics.Add(metrics.TooManyInFlight)
+	class := client.router.config.Settings.Class(parsed.Class)
+	return client.answerLocally(tasks, slot, rejectedAnswer(client.router.loop.retryAfter(class), rejectedForMemory))
 }
 
 // answerReadiness answers an empty query, the readiness check of the load balancer, once this router is ready.
@@ -246,12 +289,12 @@
 	return pgwire.AppendReady(pgwire.Append(nil, pgwire.EmptyQueryResponse, nil))
 }
 
-func (client *client) handleFeedQuery(tasks *sync.WaitGroup, parsed *pgwire.Request, arrivedAt clock.Nanos) error {
+func (client *client) handleFeedQuery(tasks *sync.WaitGroup, slot querySlot, parsed *pgwire.Request, arrivedAt clock.Nanos) error {
 	if client.feedSubscription == nil {
 		client.feedSubscription = &changefeed.Subscription{}
 	}
 	subscription := client.feedSubscription
-	return client.startTask(tasks, func() []byte {
+	return client.startTask(tasks, slot, func() []byte {
 		return client.router.changefeed.answer(client, parsed, subscription, arrivedAt)
 	})
 }
@@ -277,8 +320,8 @@
 
 // rejectUnusable answers an unusable query, one that is not a valid request, and pauses: a client that sends such
 // queries as fast as it can must not take CPU time from other clients.
-func (client *client) rejectUnusable(tasks *sync.WaitGroup, code string, err error) error {
-	if err := client.answerLocally(tasks, errorAnswer(code, err.Error())); err != nil {
+func (client *client) rejectUnusable(tasks *sync.WaitGroup, slot querySlot, code string, err error) error {
+	if err := client.answerLocally(tasks, slot, errorAnswer(code, err.Error())); err != nil {
 		return err
 	}
 	client.unusableInRow++
--- a/internal/router/clients.go
+++ b/internal/router/clients.go
@@ -134,11 +134,20 @@
 // rejectPartial frees a descriptor when no client is idle: it rejects the client whose message has been incomplete for
 // longest, if there was enough time for the rest of the message to arrive. The incomplete request has not run.
 func (set *clientSet) rejectPartial(now time.Time) {
+	set.rejectOldest(now, (*client).partialState, "refused: all connections are in use, and the message did not come whole")
+}
+
+// rejectLongPartial is rejectPartial, to free the memory of a long message.
+func (set *clientSet) rejectLongPartial(now time.Time) {
+	set.rejectOldest(now, (*client).longPartialState, "refused: the memory for incomplete messages is in use, and the message did not come whole")
+}
+
+func (set *clientSet) rejectOldest(now time.Time, partialState func(*client) (time.Time, bool), text string) {
 	oldest := set.oldest(func(client *client) (time.Time, bool) {
-		since, partial := client.partialState()
+		since, partial := partialState(client)
 		return since, partial && now.Sub(since) >= set.timeouts.evictableIdle
 	})
 	if oldest != nil {
-		oldest.evict(&rejection{text: "refused: all connections are in use, and the message did not come whole"})
+		oldest.evict(&rejection{text: text})
 	}
 }
--- a/internal/router/clientwriter.go
+++ b/internal/router/clientwriter.go
@@ -9,32 +9,34 @@
 	"lotushook/internal/pgwire"
 )
 
+// answerMessage sends an answer to a message that is not a query.
+func (client *client) answerMessage(tasks *sync.WaitGroup, answer []byte) error {
+	slot, err := client.acquireSlot(0)
+	if err != nil {
+		return err
+	}
+	return client.answerLocally(tasks, slot, answer)
+}
+
 // answerLocally sends an answer that does not need the decision module.
-func (client *client) answerLocally(tasks *sync.WaitGroup, answer []byte) error {
-	return client.startTask(tasks, func() []byte { return answer })
+func (client *client) answerLocally(tasks *sync.WaitGroup, slot querySlot, answer []byte) error {
+	return client.startTask(tasks, slot, func() []byte { return answer })
 }
 
 // startTask is startAnswer for a query that can't be canceled.
-func (client *client) startTask(tasks *sync.WaitGroup, answer func() []byte) error {
-	return client.startAnswer(tasks, nil, answer)
+func (client *client) startTask(tasks *sync.WaitGroup, slot querySlot, answer func() []byte) error {
+	return client.startAnswer(tasks, slot, nil, answer)
 }
 
 // startAnswer starts a task that obtains the answer to a query and writes it. The request, unless nil, can be canceled
 // meanwhile.
-func (client *client) startAnswer(tasks *sync.WaitGroup, request *request, answer func() []byte) error {
-	if err := client.acquireSlot(); err != nil {
-		return err
-	}
-	reservation, err := client.reserveAnswer()
-	if err != nil {
-		return err
-	}
-	task := &answerTask{client: client, answer: answer, reservation: reservation}
+func (client *client) startAnswer(tasks *sync.WaitGroup, slot querySlot, request *request, answer func() []byte) error {
+	task := &answerTask{client: client, answer: answer, reservation: slot.reservation}
 	if request != nil {
 		request.holdAnswer, task.canceled = task.hold, request.canceled
 	}
 	if err := client.openQuery(task); err != nil {
-		client.router.answerMemory.release(&task.reservation)
+		client.router.requestMemory.release(&task.reservation)
 		return err
 	}
 	tasks.Go(task.run)
--- a/internal/router/disconnect.go
+++ b/internal/router/disconnect.go
@@ -41,9 +41,9 @@
 	})
 }
 
-// acquireSlot waits until another request may be pipelined. It returns an error if the client has disconnected or an
-// answer could not be written: requests that were already read must not run then.
-func (client *client) acquireSlot() error {
+// awaitPipelineSlot waits until another request may be pipelined. It returns an error if the client has disconnected or
+// an answer could not be written.
+func (client *client) awaitPipelineSlot() error {
 	select {
 	case client.slots <- struct{}{}:
 	default:
--- a/internal/router/eventloop.go
+++ b/internal/router/eventloop.go
@@ -14,10 +14,9 @@
 )
 
 const (
-	eventQueueSize     = 4096
-	maxLogLines        = 500                   // how many lines of the decision module's own log are written
-	queueInterval      = 10 * time.Millisecond // the time between steps while requests wait in the contracts' queues
-	queryMemoryDivisor = 3                     // 1/3 of the memory limit is for query text; buffers and answers need the rest
+	eventQueueSize = 4096
+	maxLogLines    = 500                   // how many lines of the decision module's own log are written
+	queueInterval  = 10 * time.Millisecond // the time between steps while requests wait in the contracts' queues
 )
 
 // loopEvent is one message to the event loop: an event for the decision module with the request that it concerns, or
@@ -37,8 +36,6 @@
 	router        *Router
 	events        chan loopEvent
 	requests      map[string]*request // from RequestArrived to the end of the task
-	queryBytes    int                 // the total size of their queries
-	maxQueryBytes int                 // the maximum of queryBytes
 	timers        timers
 	batch         []balance.Event
 	endedRequests []*request // tasks that ended in this batch; still in requests
@@ -51,7 +48,7 @@
 
 func newEventLoop(balancer *balance.Balancer, router *Router) *eventLoop {
 	return &eventLoop{balancer: balancer, router: router, events: make(chan loopEvent, eventQueueSize), requests: map[string]*request{},
-		maxQueryBytes: int(router.config.Limits.MemoryMB << 20 / queryMemoryDivisor), calls: make(chan func())}
+		calls: make(chan func())}
 }
 
 // do runs a function on the event loop's goroutine and waits for it. It returns false if the context ended first.
@@ -123,7 +120,7 @@
 			event.request.deliver(balance.Action{Kind: balance.FailRequest}) // the module ignores a duplicate ID
 			return
 		}
-		if loop.openRequests() >= loop.router.config.Settings.Balance.MaxQueued || loop.queryBytes+event.request.Size() > loop.maxQueryBytes {
+		if loop.openRequests() >= loop.router.config.Settings.Balance.MaxQueued {
 			loop.router.metrics.Add(metrics.TooManyInFlight)
 			event.request.deliver(balance.Action{Kind: balance.RejectRequest, RetryAfter: loop.retryAfter(event.Class)})
 			return
@@ -138,7 +135,6 @@
 		loop.requestCount++
 		event.request.receivedAt.Store(loop.router.clock.now())
 		loop.requests[event.Request] = event.request
-		loop.queryBytes += event.request.Size()
 		if queued {
 			event.request.queuedArrival = event
 		} else {
@@ -154,7 +150,6 @@
 // which may still return actions for it.
 func (loop *eventLoop) requestEnded(request *request) {
 	loop.endedRequests = append(loop.endedRequests, request)
-	loop.queryBytes -= request.Size()
 	if loop.contracts != nil {
 		loop.contracts.requestEnded(request, loop.router.clock.now())
 	}
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -31,7 +31,8 @@
 	attributes := []slog.Attr{
 		slog.String("name", router.config.Name),
 		slog.Int64("resident_kb", residentKB()),
-		slog.Int("answers_kb", router.answerMemory.reserved()/1024),
+		slog.Int("answers_kb", router.requestMemory.reserved()/1024),
+		slog.Int64("input_kb", (newMemoryPlan(router.config.Limits).clientInput-router.readQuota.Available())/1024),
 		slog.Int("clients", router.clients.len()),
 		slog.Int("open", open),
 		slog.Int("idle", idle),
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -40,7 +40,6 @@
 	// scheduling delay of either side.
 	duplicateWindow          = 10 * time.Millisecond
 	crowdedDescriptorDivisor = 5 // above 1/5 of the descriptors, idle clients are closed early
-	readMemoryDivisor        = 4 // 1/4 of the memory limit each for incomplete messages of clients and servers
 )
 
 // Router is a router process.
@@ -67,8 +66,8 @@
 	stalls     stallDetector
 	inputPacer *inputPacer
 	cancelKeys *cancelKeys // of the connected clients
-	// answerMemory limits the memory of answers that wait behind earlier ones.
-	answerMemory *answerMemory
+	// requestMemory limits the memory of open queries and of answers that wait behind earlier ones.
+	requestMemory *requestMemory
 }
 
 // observability contains the metrics and logs.
@@ -95,7 +94,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
-	readQuota := config.Limits.MemoryMB << 20 / readMemoryDivisor
+	plan := newMemoryPlan(config.Limits)
 	router := &Router{
 		config:      config,
 		directory:   discovery.NewDirectory(),
@@ -109,12 +108,12 @@
 	router.clients.timeouts = &router.timeouts
 	router.clients.onSweep = func() { router.stalls.tick(router.clock.now()) }
 	router.clients.all = map[*client]struct{}{}
-	router.readQuota = ringbuffer.NewQuota(readQuota)
+	router.readQuota = ringbuffer.NewQuota(plan.clientInput)
 	router.cancelKeys = newCancelKeys()
 	if router.inputPacer, err = newInputPacer(config.Limits.Cores); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
-	if router.answerMemory, err = newAnswerMemory(config.Limits.MemoryMB << 20); err != nil {
+	if router.requestMemory, err = newRequestMemory(plan.requests); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
 	router.observe(site.Log)
@@ -124,7 +123,7 @@
 		Metrics:         router.metrics,
 		ConnectTimeout:  config.Settings.ConnectTimeout,
 		IdleClose:       config.Settings.IdleTimeout,
-		ReadQuota:       ringbuffer.NewQuota(readQuota),
+		ReadQuota:       ringbuffer.NewQuota(plan.serverInput),
 		StallTimeout:    stallTimeout,
 		SettleTime:      settleTime,
 		DuplicateWindow: duplicateWindow,
@@ -143,7 +142,7 @@
 		router.metrics = metrics.New()
 	}
 	router.accessLog.settings.Store(settings)
-	router.watcher.Metrics, router.answerMemory.metrics = router.metrics, router.metrics
+	router.watcher.Metrics, router.requestMemory.metrics = router.metrics, router.metrics
 }
 
 // addServices creates the optional services that the site configuration enables.
