Find out that a client has left when its connection's end is behind unread bytes

Ruled out: checkConnected's interval (the state stays ESTABLISHED).

Change: while a reader waits and 16 KiB or more are unread, it sends a ParameterStatus that repeats a parameter of the session's start; the protocol page has clients pass it over. A closed client's system answers with a reset, which the next check finds. Never into an answer (a lock), never while something written is unreceived (SIOCOUTQ); where the system has no such call, nothing is sent.

--- a/internal/experiment/departure_test.go
+++ b/internal/experiment/departure_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -58,3 +59,38 @@
 		})
 	}
 }
+
+// TestDepartedClientWithMuchUnread guards against a client that disconnects with more unread than the system takes for
+// the router, so that the end of its connection can't arrive (operators' picture (c)): all data servers hang while it
+// sends its queries and leaves, and none of them may be sent after that.
+func TestDepartedClientWithMuchUnread(t *testing.T) {
+	const (
+		queries     = 200
+		valueBytes  = 60_000
+		hang        = time.Second
+		beforeLeave = 300 * time.Millisecond
+		grace       = 150 * time.Millisecond // 0.1 s, and 50 ms for the sockets
+	)
+	running, router := startAsShipped(t, 64, 512)
+	conn := dialRouter(t, router, startTimeout)
+	for _, server := range running.Servers() {
+		server.Hang(hang)
+	}
+	var sending sync.WaitGroup
+	sending.Go(func() {
+		for range queries {
+			if _, err := conn.conn.Write(longWrite(valueBytes)); err != nil {
+				return
+			}
+		}
+	})
+	time.Sleep(beforeLeave)
+	conn.conn.Close()
+	sending.Wait()
+	time.Sleep(grace)
+	received := running.Audit().Requests
+	time.Sleep(2 * hang)
+	if later := running.Audit().Requests - received; later > 0 {
+		t.Errorf("%d queries were sent later than %v after their client had disconnected, %d before", later, grace, received)
+	}
+}
--- a/internal/pgwire/message.go
+++ b/internal/pgwire/message.go
@@ -309,12 +309,17 @@
 	out = Append(out, Authentication, []byte{0, 0, 0, 0})
 	for _, parameter := range [][2]string{{"server_version", "15.0"}, {"server_encoding", "UTF8"},
 		{"client_encoding", "UTF8"}, {"standard_conforming_strings", "on"}, {"integer_datetimes", "on"}} {
-		out = Append(out, ParameterStatus, []byte(parameter[0]+"\x00"+parameter[1]+"\x00"))
+		out = AppendParameter(out, parameter[0], parameter[1])
 	}
 	out = Append(out, BackendKeyData, binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint32(nil, key.Process), key.Secret))
 	return AppendReady(out)
 }
 
+// AppendParameter appends a ParameterStatus.
+func AppendParameter(out []byte, name, value string) []byte {
+	return Append(out, ParameterStatus, []byte(name+"\x00"+value+"\x00"))
+}
+
 // AppendReady appends ReadyForQuery, outside a transaction.
 func AppendReady(out []byte) []byte { return Append(out, ReadyForQuery, []byte{'I'}) }
 
--- a/internal/router/client.go
+++ b/internal/router/client.go
@@ -49,11 +49,13 @@
 	skipUntilSync    bool                     // after an error in an extended query
 	unusableInRow    int                      // consecutive unusable queries (see rejectUnusable)
 	feedSubscription *changefeed.Subscription // nil: the client has not queried a change feed
+	hasSession       bool                     // the session's start has been answered
 	readingEnded     atomic.Bool              // nothing more is to be read; any goroutine may set it
 }
 
 // clientWriter belongs to the task whose turn it is to write its answer; any goroutine may use the channels.
 type clientWriter struct {
+	writing          sync.Mutex // held while an answer is written
 	writes           writeProgress
 	slots            chan struct{} // a semaphore that limits the pipelined requests
 	writeFailed      chan struct{} // closed once an answer could not be written: later answers can't be delivered
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -158,6 +158,7 @@
 			return err
 		}
 	}
+	client.hasSession = true
 	return client.write(pgwire.AppendSessionStart(nil, client.router.cancelKeys.add(client)))
 }
 
--- a/internal/router/clientwriter.go
+++ b/internal/router/clientwriter.go
@@ -95,7 +95,9 @@
 		return err
 	}
 	client.writes.begun.Add(1)
+	client.writing.Lock()
 	_, err := client.conn.Write(message)
+	client.writing.Unlock()
 	client.writes.ended.Add(1)
 	if err != nil { // the message may be truncated, so no other may follow
 		closeQuietly(client.conn)
--- a/internal/router/disconnect.go
+++ b/internal/router/disconnect.go
@@ -5,6 +5,9 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
+	"lotushook/internal/pgwire"
 	"lotushook/policy/clock"
 )
 
@@ -12,6 +15,10 @@
 // sent later than 100 ms after its client has disconnected.
 const disconnectCheckInterval = 25 * time.Millisecond
 
+// minBytesHidingEnd is the number of unread bytes of a connection from which on its end may not have arrived although the
+// client has closed it: the system accepts no less, so that the end of a shorter stream is known.
+const minBytesHidingEnd = 16 << 10
+
 // Linux TCP states, as in the first byte of TCP_INFO.
 const (
 	tcpClosed    = 7 // reset
@@ -24,7 +31,8 @@
 	if _, ok := client.conn.(syscall.Conn); !ok {
 		return false
 	}
-	return withDescriptor(client.conn, func(fd int) bool {
+	mayHideEnd := false
+	gone := withDescriptor(client.conn, func(fd int) bool {
 		var buffer [1]byte
 		switch count, _, err := syscall.Recvfrom(fd, buffer[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); err {
 		case nil:
@@ -37,10 +45,38 @@
 			return false
 		}
 		// There are unread bytes. The end of the stream may be behind them; the TCP state shows it.
+		unread, err := unix.IoctlGetInt(fd, unix.SIOCINQ)
+		mayHideEnd = err == nil && unread >= minBytesHidingEnd
 		info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
 		state := info & 0xff
 		return err == nil && (state == tcpClosed || state == tcpCloseWait)
 	})
+	if mayHideEnd && !gone {
+		client.provokeReset()
+	}
+	return gone
+}
+
+// keepAliveMessage is a message that clients pass over: it repeats a parameter of the session's start.
+var keepAliveMessage = pgwire.AppendParameter(nil, "client_encoding", "UTF8")
+
+// provokeReset sends a message that clients pass over. If the client has closed the connection, its system answers with
+// a reset, which the next hasDisconnected finds. That is the only sign of a disconnect when the client has sent more
+// than the system accepts unread, as the end of the stream arrives after all of it. Nothing is sent during the session's
+// start, while an answer is being written, or while the client has not received what was written before.
+func (client *client) provokeReset() {
+	if !client.hasSession || !client.writing.TryLock() {
+		return
+	}
+	defer client.writing.Unlock()
+	withDescriptor(client.conn, func(fd int) bool {
+		if unsent, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ); err != nil || unsent > 0 {
+			return false
+		}
+		// The buffer is empty, so that the message fits. An error is found by the next hasDisconnected.
+		_ = syscall.Sendto(fd, keepAliveMessage, syscall.MSG_DONTWAIT|syscall.MSG_NOSIGNAL, nil)
+		return false
+	})
 }
 
 // checkConnected returns io.EOF if the client has disconnected. The reader calls it before it handles a message with more
