Fail a request that may have run when its ID comes again

Cause: only IDs of open requests were known; a departed client's attempt is canceled and the request forgotten, though it may have run. Ruled out: a second copy while the first is open (failed already).

Change: policy/repeatguard remembers requests that are not idempotent and ran or may have run, 4,096 of them for 10 s; the event loop fails one that comes again (58000), unless it has a key and the idempotency window is open.

Measured: TestRequestOfDepartedClientComesAgain failed before in the cases "must not run twice" and "keyed, after the idempotency window" (the router dialled for it and answered 53300), and passes.

--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -162,6 +162,27 @@
 	return request.firstRunAt + window - window/retryTransitDivisor
 }
 
+// repeatableUntil returns until when a request that has ended may run again, if its ID comes again; ok is false if it may
+// at any time, as it has not run or is idempotent.
+func (request *request) repeatableUntil() (until clock.Nanos, ok bool) {
+	if !request.end.Served && !request.end.MayHaveRun { // its class may be unknown
+		return 0, false
+	}
+	settings := request.router.config.Settings
+	class := &settings.Balance.Classes[settings.Class(request.Class)]
+	switch class.Idempotency {
+	case balance.Idempotent:
+		return 0, false
+	case balance.NotIdempotent:
+		return 0, true
+	}
+	firstRunAt := request.firstRunAt
+	if firstRunAt == 0 { // the only attempt served it
+		firstRunAt = request.arrivedAt
+	}
+	return firstRunAt + class.IdempotencyWindow - class.IdempotencyWindow/retryTransitDivisor, true
+}
+
 // writeQuery writes the query in the form that data servers read, with the remaining time until the deadline.
 func (request *request) writeQuery(writer io.Writer) error {
 	return request.WriteQuery(writer, time.Until(request.router.clock.at(request.deadline)))
--- a/internal/router/departed_test.go
+++ b/internal/router/departed_test.go
@@ -554,3 +554,47 @@
 	hash.Write([]byte(host))
 	return balance.EndpointID(hash.Sum32())
 }
+
+// Guards against a request that runs twice: its client leaves while an attempt is open, the attempt is canceled, and the
+// same ID comes again on another connection (operators' picture (c)). Whether it has run is unknown, so it may not run
+// again, unless data servers drop a duplicate of its key.
+func TestRequestOfDepartedClientComesAgain(t *testing.T) {
+	unkeyed := func(settings string) string { return strings.Replace(settings, `"guarded"`, `"single_shot"`, 1) }
+	briefWindow := func(settings string) string {
+		return strings.Replace(settings, `"name":"write","objective":5000000000,"window":5000000000`, `"name":"write","objective":5000000000,"window":1000000`, 1)
+	}
+	const unkeyedWrite = `Q "/* id=01,c=write,d=20000,cluster=1 */ A"`
+	for _, test := range []struct {
+		name      string
+		set       func(settings string) string
+		write     string
+		forwarded string
+		runsAgain bool
+	}{
+		{"must not run twice", unkeyed, unkeyedWrite, strings.Replace(unkeyedWrite, "20000", "#", 1), false},
+		{"keyed, within the idempotency window", strings.Clone, writeQuery1, forwardedWrite1, true},
+		{"keyed, after the idempotency window", briefWindow, writeQuery1, forwardedWrite1, false},
+		{"read", strings.Clone, readQuery1, forwardedRead1, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			stage, router := startRouterWithSettings(t, 0, noTimeouts, test.set, "h-1 {s1} 1 SERVING")
+			stage.Run("send c1 startup | " + test.write + `
+				wait s1
+				expect s1 startup
+				send s1 welcome
+				expect s1 ` + test.forwarded + `
+				close c1`)
+			waitUntil(t, "the request has ended", func() bool { return !anyClient(router, func(*client) bool { return true }) })
+			stage.Run("send c2 startup | " + test.write)
+			if !test.runsAgain {
+				stage.Run("expect c2 welcome | E 58000 | Z")
+				if stage.HasPendingConnection("s1") {
+					t.Error("the request was sent again")
+				}
+				return
+			}
+			stage.Run("wait s1 as t1\nexpect t1 startup\nsend t1 welcome\nexpect t1 " + test.forwarded + "\nsend t1" + value + `
+				expect c2 welcome | T | D "v" | C | Z`)
+		})
+	}
+}
--- a/internal/router/eventloop.go
+++ b/internal/router/eventloop.go
@@ -11,12 +11,17 @@
 	"lotushook/internal/metrics"
 	"lotushook/policy/balance"
 	"lotushook/policy/clock"
+	"lotushook/policy/repeatguard"
 )
 
 const (
 	eventQueueSize = 4096
-	maxLogLines    = 500                   // how many lines of the decision module's own log are written
-	queueInterval  = 10 * time.Millisecond // the time between steps while requests wait in the contracts' queues
+	maxLogLines    = 500 // how many lines of the decision module's own log are written
+	// A client that left may send its request again, with the same ID, while it still wants the answer.
+	repeatRetention       = 10 * clock.Second
+	maxRememberedRequests = 4096
+
+	queueInterval = 10 * time.Millisecond // the time between steps while requests wait in the contracts' queues
 )
 
 // loopEvent is one message to the event loop: an event for the decision module with the request that it concerns, or
@@ -41,14 +46,16 @@
 	endedRequests []*request // tasks that ended in this batch; still in requests
 	requestCount  int
 	logLines      int
+	repeats       *repeatguard.Guard
 	contracts     *contractService // the teams' contracts; nil: none are configured
 	calls         chan func()
 	steppedAt     atomic.Int64 // the time of the last step whose actions were delivered
 }
 
-func newEventLoop(balancer *balance.Balancer, router *Router) *eventLoop {
+func newEventLoop(balancer *balance.Balancer, router *Router) (*eventLoop, error) {
+	repeats, err := repeatguard.New(repeatRetention, maxRememberedRequests)
 	return &eventLoop{balancer: balancer, router: router, events: make(chan loopEvent, eventQueueSize), requests: map[string]*request{},
-		calls: make(chan func())}
+		repeats: repeats, calls: make(chan func())}, err
 }
 
 // do runs a function on the event loop's goroutine and waits for it. It returns false if the context ended first.
@@ -115,7 +122,7 @@
 		loop.router.recovery.attemptEnded(event.request, event.Outcome)
 	case balance.RequestArrived:
 		loop.router.metrics.Add(metrics.Requests)
-		if loop.requests[event.Request] != nil {
+		if loop.requests[event.Request] != nil || !loop.repeats.MayRun(event.Request, loop.router.clock.now()) {
 			loop.router.metrics.Add(metrics.DuplicateID)
 			event.request.deliver(balance.Action{Kind: balance.FailRequest}) // the module ignores a duplicate ID
 			return
@@ -150,6 +157,9 @@
 // which may still return actions for it.
 func (loop *eventLoop) requestEnded(request *request) {
 	loop.endedRequests = append(loop.endedRequests, request)
+	if until, ok := request.repeatableUntil(); ok {
+		loop.repeats.Ended(request.ID, until, loop.router.clock.now())
+	}
 	if loop.contracts != nil {
 		loop.contracts.requestEnded(request, loop.router.clock.now())
 	}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -128,7 +128,9 @@
 		SettleTime:      settleTime,
 		DuplicateWindow: duplicateWindow,
 	})
-	router.loop = newEventLoop(balancer, router)
+	if router.loop, err = newEventLoop(balancer, router); err != nil {
+		return nil, fmt.Errorf("router: %w", err)
+	}
 	if err := router.addServices(site); err != nil {
 		return nil, fmt.Errorf("router: %w", err)
 	}
