Do not count attempts without time for an answer against their endpoints

Ruled out: processor time (reads with 2 s at the same rate harm nobody), load of the data servers (with 0 ms none was sent).

Change: Outcome.evidence: with less than twice the typical response time until its request's deadline, such an attempt says nothing. A request whose time is over makes no connection.

--- a/internal/experiment/badclient_test.go
+++ b/internal/experiment/badclient_test.go
@@ -170,3 +170,33 @@
 		})
 	}
 }
+
+// TestBriefRequestsDoNotEjectEndpoints guards against a client whose requests have too little time: their attempts fail
+// for lack of it, and the router must not conclude that the data servers are down and reject the requests of others
+// (operators' picture (b)).
+func TestBriefRequestsDoNotEjectEndpoints(t *testing.T) {
+	const duration = 3 * time.Second
+	for _, timeout := range []int{0, 1, 10, 25} { // ms; data servers need some 10 ms
+		t.Run(fmt.Sprintf("%d ms", timeout), func(t *testing.T) {
+			running, router := startAsShipped(t, 64, 512)
+			usual := startUsualClients(running, router)
+			time.Sleep(usualTimeout / 4)
+			conn := dialRouter(t, router, duration)
+			go func() { _, _ = io.Copy(io.Discard, conn.conn) }()
+			for number := 0; ; number++ {
+				query := fmt.Sprintf("/* id=brief%d,c=katalog-lesen,d=%d,cluster=%d */ SELECT body FROM objects WHERE oid = 'b'", number, timeout, 1+number%len(running.Groups))
+				if _, err := conn.conn.Write(pgwire.AppendQuery(nil, query)); err != nil {
+					break
+				}
+			}
+			usual.stop(t)
+			log, err := os.ReadFile(router.log.Name())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if count := strings.Count(string(log), "ejected"); count > 0 {
+				t.Errorf("%d endpoints were ejected:\n%s", count, log)
+			}
+		})
+	}
+}
--- a/internal/router/attempt.go
+++ b/internal/router/attempt.go
@@ -33,8 +33,11 @@
 	if action.AtPrimary {
 		deadlines.AsPrimary = request.router.clock.at(startedAt).Add(-maxReportDelay)
 	}
-	pending := request.router.pool.Start(action.Endpoint, deadlines, request.writeQuery, request.isStillWanted)
-	result := request.awaitAttempt(pending, action)
+	result := backend.Result{Outcome: balance.NotSent}
+	if startedAt < request.deadline { // otherwise no connection is established in vain
+		pending := request.router.pool.Start(action.Endpoint, deadlines, request.writeQuery, request.isStillWanted)
+		result = request.awaitAttempt(pending, action)
+	}
 	waited := !request.checkAbandoned()
 	request.recordAttempt(action, startedAt, &result)
 	request.reportAttempt(action, startedAt, &result)
--- a/policy/balance/event.go
+++ b/policy/balance/event.go
@@ -65,6 +65,19 @@
 	return o == Succeeded || o == NotEligible || o == Busy || o == Failed
 }
 
+// minFairTime is how long an attempt must have had to fail by its time, in typical response times.
+const minFairTime = 2
+
+// evidence returns what an outcome says of its endpoint, given the time that the request left for the attempt, the time
+// that has elapsed and the typical response time. An attempt that was given up at its request's deadline and had little
+// time until then says nothing, as if it had not been sent.
+func (o Outcome) evidence(given, elapsed, typical clock.Nanos) Outcome {
+	if (o == TimedOut || o == ConnectionRefused) && elapsed >= given && given < minFairTime*typical {
+		return NotSent
+	}
+	return o
+}
+
 // EventKind is the kind of an event.
 type EventKind int
 
--- a/policy/balance/health.go
+++ b/policy/balance/health.go
@@ -8,9 +8,8 @@
 const lostShareWeight = 0.01 // weight of the newest attempt in Balancer.lostShare
 
 func (lb *Balancer) recordOutcome(attempt *attempt, event *Event) {
-	ep, work := attempt.endpoint, lb.classes.Work(attempt.request.class)
-	workNanos := clock.Nanos(work)
-	switch event.Outcome {
+	ep, work := attempt.endpoint, clock.Nanos(lb.classes.Work(attempt.request.class))
+	switch event.Outcome.evidence(attempt.request.deadline-attempt.sentAt, lb.now-attempt.sentAt, work) {
 	case Succeeded:
 		lb.recordSuccess(attempt, event)
 	case NotEligible:
@@ -18,23 +17,23 @@
 		lb.readmit(ep)
 	case Busy: // lower the limit, as an overloaded or draining endpoint rejects fast and would look idle
 		ep.limit = max(lb.minLimitOf(ep), ep.limit-limitStep)
-		ep.health.AddBusy(lb.now, workNanos)
+		ep.health.AddBusy(lb.now, work)
 	case Failed:
 		ep.health.AddError()
 		if event.Role == Primary { // the primary is up, so it is not ejected: no other endpoint can replace it
-			ep.health.PauseFor(lb.now, clock.Nanos(work/2))
+			ep.health.PauseFor(lb.now, work/2)
 		} else {
-			lb.recordFailure(ep, workNanos)
+			lb.recordFailure(ep, work)
 		}
 	case ConnectionRefused:
-		if lb.now-attempt.sentAt > workNanos { // a connect timeout, not ECONNREFUSED: the host may be gone
+		if lb.now-attempt.sentAt > work { // a connect timeout, not ECONNREFUSED: the host may be gone
 			lb.recordZoneSilence(attempt)
 		}
 		ep.health.SetDown()
 		fallthrough
 	case ConnectionReset:
 		ep.connectedUntil = 0
-		lb.recordFailure(ep, workNanos)
+		lb.recordFailure(ep, work)
 	case Canceled, TimedOut:
 		lb.recordUnanswered(attempt, event.Outcome == TimedOut)
 	}
