--- a/internal/router/requestmemory_test.go
+++ b/internal/router/requestmemory_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lotushook/internal/nettest"
+	"lotushook/internal/ringbuffer"
 	"lotushook/policy/requestmemory"
 )
 
@@ -128,3 +129,33 @@
 		expect c1 T | D "w" | C | Z`)
 	waitUntil(t, "all memory is released", func() bool { return router.requestMemory.reserved() == 0 })
 }
+
+// Guards against clients whose half messages use up the memory for incomplete messages: another client's long query
+// waits for memory, and the client whose message has been incomplete for longest makes room. One with a short half
+// message takes no memory from others and stays.
+func TestLongQueryWaitsForInputMemory(t *testing.T) {
+	timeouts := noTimeouts
+	timeouts.evictableIdle = 20 * time.Millisecond
+	stage, router, _, _ := startRouterWithTimeouts(t, timeouts)
+	stage.Define("long", strings.Repeat("v", 6<<10))
+	stage.Run(`send c0 startup | raw "Q\x00\x00\x00\xffhalf"
+		expect c0 welcome`)
+	stage.Run(`send c1 startup | raw "Q\x00\x00\xff\xff{long}"
+		expect c1 welcome`)
+	waitUntil(t, "the half message is read", func() bool { return router.readQuota.Available() < newMemoryPlan(router.config.Limits).clientInput })
+	for err := error(nil); err == nil; { // use up what is left
+		_, err = ringbuffer.New(1 << 20).WithQuota(router.readQuota).Write(make([]byte, 2*ringbuffer.MinSize))
+	}
+	stage.Run(`
+		send c2 startup | Q "/* id=01,c=read,d=20000,cluster=1 */ '{long}'"
+		expect c1 FATAL 53300 | EOF
+		wait s1
+		expect s1 startup
+		send s1 welcome
+		expect s1 Q "/* id=01,c=read,d=#,cluster=1 */ '{long}'"
+		send s1 T | D "v" | C | S rank=copy | Z
+		expect c2 welcome | T | D "v" | C | Z`)
+	if !anyClient(router, func(client *client) bool { _, partial := client.partialState(); return partial }) {
+		t.Error("the client with the short half message was rejected too")
+	}
+}
