Pace lingering closes, and count a client's only query by its text alone

Read again after the review's cases: (1) a client's lingering close read up to 1 MiB unpaced; (2) the overhead of open queries counted for a client's only query too, though the plan has it in each connection: with 300 clients and 32 MB it would have used up the memory, and a write of 3 KB been rejected; (3) a reader that waits for input memory asked for no displacement by admission, and spun once a shutdown was over; (4) a freed buffer kept the length of an earlier message.

--- a/internal/ringbuffer/ringbuffer.go
+++ b/internal/ringbuffer/ringbuffer.go
@@ -213,5 +213,5 @@
 // Free discards the content and releases the memory.
 func (buffer *Buffer) Free() {
 	buffer.quota.reserve(-max(len(buffer.buf)-MinSize, 0))
-	buffer.buf, buffer.start, buffer.len = nil, 0, 0
+	buffer.buf, buffer.start, buffer.len, buffer.expected = nil, 0, 0, 0
 }
--- a/internal/router/clientclose.go
+++ b/internal/router/clientclose.go
@@ -30,7 +30,7 @@
 		return
 	}
 	for dropped := 0; dropped < client.input.Cap(); dropped += client.input.Discard(client.input.Len()) {
-		if client.input.Fill(client.conn) != nil {
+		if client.input.Fill(client.conn) != nil || client.paceInput(0, client.input.Len()) != nil {
 			return
 		}
 	}
--- a/internal/router/clientreader.go
+++ b/internal/router/clientreader.go
@@ -61,7 +61,7 @@
 func (client *client) awaitInputMemory(full error) error {
 	client.router.metrics.Add(metrics.WaitsForInputMemory)
 	client.router.clients.rejectLongPartial(time.Now())
-	if err := client.pause(inputMemoryInterval, client.router.shutdown.over); err != nil {
+	if err := client.pause(inputMemoryInterval, nil); err != nil {
 		return err
 	}
 	client.mu.Lock()
@@ -69,6 +69,8 @@
 	switch {
 	case client.rejection != nil:
 		return client.rejection
+	case client.displaced:
+		return client.router.acceptor.displacedRejection(client)
 	case client.overdue:
 		return full
 	}
--- a/policy/requestmemory/requestmemory.go
+++ b/policy/requestmemory/requestmemory.go
@@ -20,8 +20,9 @@
 	riseWeight = 1.0 / 4
 	fallWeight = 1.0 / 64
 
-	// queryOverhead is the memory in bytes that an open query needs beside its text.
-	queryOverhead = 8 << 10
+	// pipelinedOverhead is the memory in bytes that an open query needs beside its text. That of a client's only query is
+	// part of the memory of its connection.
+	pipelinedOverhead = 8 << 10
 
 	// ShortQuery is the size in bytes up to which the only query of a client is always taken.
 	ShortQuery = 2 << 10
@@ -73,7 +74,10 @@
 // Take reserves memory for a query whose text has size bytes and for its answer. Unless the verdict is Taken, it reserves
 // nothing. isNext reports that no query of the same client is open.
 func (budget *Budget) Take(size int, isNext bool) (Reservation, Verdict) {
-	reservation := Reservation{query: size + queryOverhead, expected: int(budget.expectedSize)}
+	reservation := Reservation{query: size, expected: int(budget.expectedSize)}
+	if !isNext {
+		reservation.query += pipelinedOverhead
+	}
 	switch {
 	case isNext && size > ShortQuery && budget.used+size > budget.capacity:
 		return Reservation{}, NoMemory
